--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use caperwind::{
     Action, Arrival, AttemptIx, BackendId, BackendRow, BackendState, CellIx, Config, Ended, Event, Gateway,
-    KindIx, ListKind, Micros, Outcome, Reckoned, RequestId, TimerToken, ZoneIx,
+    KindIx, ListKind, Micros, Outcome, Reckoned, Refusals, RequestId, TimerToken, ZoneIx,
 };
 use hyper::{Response, StatusCode};
 use std::cell::{Cell, RefCell};
@@ -24,6 +24,8 @@
 const MOST_BACKENDS: usize = 4096;
 /// Upkeep of the pools.
 const SWEEP: Micros = 1_000_000;
+/// Sweeps from one report in the log to the next.
+const REPORT: u32 = 5;
 /// Danger: an answer that crosses the client's deadline on its way is lost. The way is up to a few
 /// milliseconds, and on a core that others share a request may have stood unread for some more.
 const DEADLINE_MARGIN: Micros = 20_000;
@@ -84,6 +86,19 @@
     /// Listed backends by name, with the start time last told.
     names: HashMap<String, (BackendId, u64)>,
     refetch: bool,
+    tally: Tally,
+}
+
+/// What ended how since the last report, in one line every `REPORT`.
+#[derive(Default)]
+struct Tally {
+    sweeps: u32,
+    /// Attempts, by the place of their outcome in `Outcome`.
+    attempts: [u32; 8],
+    /// Calls to the counter: totals in time, turned away, unanswered, overdue, and overdue ones that came.
+    calls: [u32; 5],
+    /// Refusals as the module had counted them by then.
+    before: Refusals,
 }
 
 struct Inner {
@@ -147,6 +162,7 @@
             acts: Vec::new(),
             names: HashMap::new(),
             refetch: false,
+            tally: Tally::default(),
         };
         Ok(Shared(Rc::new(Inner {
             core: RefCell::new(core),
@@ -307,10 +323,18 @@
     }
 
     pub fn counted(&self, name: caperwind::CountName, result: Reckoned, elapsed: Micros) {
+        let place = match result {
+            Reckoned::Total(_) => 0,
+            Reckoned::NotAdded => 1,
+            Reckoned::Unanswered => 2,
+            Reckoned::Overdue => 3,
+        };
+        self.0.core.borrow_mut().tally.calls[place] += 1;
         self.feed(Event::Counted { name, result, elapsed });
     }
 
     pub fn counted_late(&self, name: caperwind::CountName, amount: f64, result: Reckoned) {
+        self.0.core.borrow_mut().tally.calls[4] += u32::from(matches!(result, Reckoned::Total(_)));
         self.feed(Event::CountedLate { name, amount, result });
     }
 
@@ -407,6 +431,7 @@
             drop(reply.send(Reply::Served(answer)));
         }
         let settled = open.reply.is_none();
+        core.tally.attempts[outcome as usize] += 1;
         if settled {
             core.forget(id);
         }
@@ -495,6 +520,7 @@
                 Due::Sweep => {
                     self.0.pool.sweep();
                     self.0.counter.sweep();
+                    self.report(&mut core);
                     core.timers.insert((now + SWEEP, Due::Sweep));
                 }
             }
@@ -503,6 +529,42 @@
     }
 }
 
+impl Shared {
+    /// One line in the log that tells why requests were refused of late and how attempts and calls ended.
+    fn report(&self, core: &mut Core) {
+        core.tally.sweeps += 1;
+        if core.tally.sweeps < REPORT {
+            return;
+        }
+        let v = core.gateway.vitals();
+        let Tally { attempts, calls, before, .. } =
+            std::mem::replace(&mut core.tally, Tally { before: v.refusals, ..Tally::default() });
+        if attempts == [0; 8] && calls == [0; 5] && before == v.refusals {
+            return;
+        }
+        let [ok, error, full, timeout, connect, reset, cancelled, moot] = attempts;
+        let [total, away, unanswered, overdue, late] = calls;
+        eprintln!(
+            "refused: over {} blind {} pressed {} nowhere {}; expected {:.0} ms idle {:.0} ms; out {} open {}; \
+             backends {} aside {}; attempts: ok {ok} error {error} full {full} timeout {timeout} \
+             connect {connect} reset {reset} cancelled {cancelled} moot {moot}; counter: ok {total} away {away} \
+             unanswered {unanswered} overdue {overdue} late {late} pace {:.2} window {:.0}",
+            v.refusals.over - before.over,
+            v.refusals.blind - before.blind,
+            v.refusals.pressed - before.pressed,
+            v.refusals.nowhere - before.nowhere,
+            v.expected / 1e3,
+            v.idle / 1e3,
+            v.out,
+            core.requests.len(),
+            v.listed,
+            v.aside,
+            v.pace,
+            v.calls_most,
+        );
+    }
+}
+
 impl Ticket {
     pub async fn answer(mut self) -> Reply {
         let reply = (&mut self.answer).await.unwrap_or(Reply::Failed);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,4 +33,4 @@
 mod state;
 
 pub use api::*;
-pub use state::Gateway;
+pub use state::{Gateway, Refusals, Vitals};
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -230,6 +230,7 @@
             // Where the store or the estimate has room and only the part is spent, a fresh total settles it.
             let excess = c.all(x) + units - limit;
             if excess > 0.0 && c.store < units {
+                self.refusals.over += 1;
                 return over(excess.max(units * even));
             }
             let chance = self.call_chance(id, units);
@@ -242,6 +243,7 @@
         if self.blind(id, units) {
             Verdict::Pass(!self.counter_well() || batches, self.odds(&self.customers[&id]))
         } else {
+            self.refusals.blind += 1;
             over(units)
         }
     }
@@ -531,6 +533,14 @@
                 est += h.counted + h.later;
             } else {
                 c.cur.unsent -= h.counted;
+                let why = &mut self.refusals;
+                *if room {
+                    &mut why.nowhere
+                } else if told {
+                    &mut why.over
+                } else {
+                    &mut why.blind
+                } += 1;
                 self.refuse(h.id, ((est + h.units - limit).max(h.units) / limit * window) as Micros);
             }
         }
@@ -568,12 +578,16 @@
             Verdict::Over(_) => 0.0,
         };
         if !matches!(verdict, Verdict::Over(_)) && !self.can_serve(id, odds) {
+            self.refusals.pressed += 1;
             // Clients told nothing come back at once: they are told what the queue takes.
             return self.refuse(id, self.expected() as Micros);
         }
         match verdict {
             Verdict::Pass(counts, _) if self.launch(id) => self.charge(cid, units, counts),
-            Verdict::Pass(..) => self.refuse(id, 0),
+            Verdict::Pass(..) => {
+                self.refusals.nowhere += 1;
+                self.refuse(id, 0);
+            }
             Verdict::Hold(counted) => {
                 // Danger: units counted for requests then refused shut others out: many are counted after.
                 let Some(c) = self.customers.get_mut(&cid) else { return };
@@ -693,7 +707,7 @@
 
     /// Time to completion by Little's law. Danger: one of hundreds of gateways has one request out and few
     /// completions a second; they are weighed against `PRIOR` requests at the latency of late.
-    fn expected(&self) -> f64 {
+    pub(crate) fn expected(&self) -> f64 {
         let late = (self.mix_lat / SECOND).max(1e-3);
         (self.out as f64 + PRIOR) / (self.done_rate + PRIOR / late) * SECOND
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -125,6 +125,40 @@
     Hedge(RequestId),
 }
 
+/// Refusals by their reason, since the start.
+#[derive(Default, Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusals {
+    /// The customer's estimate was over its quota.
+    pub over: u64,
+    /// No fresh total to go by, and own use was over this gateway's part.
+    pub blind: u64,
+    /// The fleet was taken to be too busy.
+    pub pressed: u64,
+    /// No backend might be sent to.
+    pub nowhere: u64,
+}
+
+/// What the decisions go by at this moment, for the log.
+#[derive(Clone, Copy, Debug)]
+pub struct Vitals {
+    /// Refusals by their reason, since the start.
+    pub refusals: Refusals,
+    /// Time to completion as expected, and what it usually takes, microseconds.
+    pub expected: f64,
+    /// Mean latency of late where the fleet is idle.
+    pub idle: f64,
+    /// Attempts out.
+    pub out: u32,
+    /// Backends listed, and of these the ones that are not in use for their health.
+    pub listed: usize,
+    /// See `listed`.
+    pub aside: usize,
+    /// Pace of calls to the counter, and how many may be out.
+    pub pace: f64,
+    /// See `pace`.
+    pub calls_most: f64,
+}
+
 /// The decisions of one gateway. The default one has no classes and refuses all.
 #[derive(Default)]
 pub struct Gateway {
@@ -184,6 +218,7 @@
     pub(crate) mix_lat: f64,
     pub(crate) asked_at: Micros,
     pub(crate) ask_failed: bool,
+    pub(crate) refusals: Refusals,
 }
 
 pub(crate) enum Verdict {
@@ -236,6 +271,21 @@
 pub(crate) type Kinds = [(u8, usize); 2];
 
 impl Gateway {
+    /// What the decisions go by at this moment: for the log, which tells one cause of refusals from another.
+    pub fn vitals(&self) -> Vitals {
+        let listed = self.backends.values().filter(|b| b.listed);
+        Vitals {
+            refusals: self.refusals,
+            expected: self.expected(),
+            idle: self.mix_base,
+            out: self.out,
+            listed: listed.clone().count(),
+            aside: listed.filter(|b| b.health != Health::Well).count(),
+            pace: self.pace,
+            calls_most: self.calls_most,
+        }
+    }
+
     /// What is left of news of then: 1 now, fading `over` this long.
     pub(crate) fn fade(&self, at: Micros, over: f64) -> f64 {
         (-self.since(at) / over).exp()
