Leave attempts lost on silent connections out of the queue estimate

The pace of counter calls stayed at 1.00, so the counter is ruled out; no backend was set aside and att/r is 1.00, so neither health nor retries refuse. 15 to 22 attempts in 5 s and gateway timed out, spread evenly over all ten backends, each on one connection that had worked until then, whole request written and nothing read: single connections go silent, not backends.

Cause: expected() counts every attempt that is out as work that queues, and a lost one is out until its deadline (1 to 3 s, against 10 ms for an answer); its time-out then moves mix_lat by a tenth of those seconds. A dozen lost attempts pass the bound, refusals lower the completion rate, and the estimate never falls again.

Mend: an attempt that one sent well after it to the same backend has overtaken is lost, not queued: it counts neither in the queue nor in the choice of backend, and its time-out is no latency. A backend that answers nothing overtakes nothing, so a real hang or jam still counts in full.

--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -545,7 +545,7 @@
         let [ok, error, full, timeout, connect, reset, cancelled, moot] = attempts;
         let [total, away, unanswered, overdue, late] = calls;
         eprintln!(
-            "refused: over {} blind {} pressed {} nowhere {}; expected {:.0} ms idle {:.0} ms; out {} open {}; \
+            "refused: over {} blind {} pressed {} nowhere {}; expected {:.0} ms idle {:.0} ms; out {} lost {} open {}; \
              backends {} aside {}; attempts: ok {ok} error {error} full {full} timeout {timeout} \
              connect {connect} reset {reset} cancelled {cancelled} moot {moot}; counter: ok {total} away {away} \
              unanswered {unanswered} overdue {overdue} late {late} pace {:.2} window {:.0}",
@@ -556,6 +556,7 @@
             v.expected / 1e3,
             v.idle / 1e3,
             v.out,
+            v.lost,
             core.requests.len(),
             v.listed,
             v.aside,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -27,6 +27,7 @@
 const BEAT: u64 = 50_000; // Housekeeping interval.
 const RATES_OVER: f64 = 1.5e6; // Rates of sends and completions are smoothed over about this long.
 const REPORT_AGE: f64 = 500_000.0; // Reports are taken to be about this old.
+const LOST: f64 = 2.0; // Usual times by which one sent later must be answered first for one to be lost.
 const GAIN: f64 = 0.1; // Weight of a new sample in slow averages.
 const SICK_RUN: u32 = 3; // Time-outs in a row before a backend is set aside.
 const DEAD_RUN: u32 = 2; // Broken or failed connections in a row before it is asked whether it lives.
@@ -68,6 +69,11 @@
         self.out_mean += (self.out as f64 - self.out_mean) * (1.0 - (-dt / REPORT_AGE).exp());
         self.out_at = now;
     }
+
+    /// Own requests that wait for their turn there, as far as is known.
+    fn waiting(&self) -> f64 {
+        self.out.saturating_sub(self.lost) as f64
+    }
 }
 
 impl Gateway {
@@ -647,10 +653,10 @@
         let known: Vec<f64> = self.backends.values().filter_map(|b| b.others.map(|o| o.0)).collect();
         let mean = known.iter().sum::<f64>() / known.len().max(1) as f64;
         // Danger: a backend that answers its first few fast gathers a queue before it shows.
-        let crowd = CROWD * (self.out as f64 / usable.min(SUBSET)) + 1.0;
+        let crowd = CROWD * (self.waiting() / usable.min(SUBSET)) + 1.0;
         let tried = |b: &Backend| self.requests[&id].attempts.iter().any(|a| a.backend == b.row.backend);
         let may = |b: &Backend| !tried(b) && self.may_send(id, b) && self.cold_allows(b, usable);
-        let fits = |b: &Backend| self.usable(b) && b.out as f64 <= crowd && may(b);
+        let fits = |b: &Backend| self.usable(b) && b.waiting() <= crowd && may(b);
         let mut scored: Vec<(f64, BackendId)> = Vec::new();
         let mut keep = (SUBSET / usable).min(1.0);
         // Danger: hundreds of gateways that each use every backend fill its connections, and none learns
@@ -667,7 +673,7 @@
     /// Load of a backend for its size and speed. Reports fade to the fleet's mean; siblings choose alike,
     /// so unreported others mirror own requests. A live weight is size over load already.
     fn score(&self, id: RequestId, b: &Backend, mean: f64) -> f64 {
-        let alike = (mean + b.out as f64 * (self.cfg.gateways as f64 - 1.0)) / 2.0;
+        let alike = (mean + b.waiting() * (self.cfg.gateways as f64 - 1.0)) / 2.0;
         let others = match self.cfg.weights {
             WeightKind::Live => 0.0,
             _ => b.others.map_or(alike, |(n, at)| mean + (n - mean) * self.fade(at, REPORT_AGE)),
@@ -677,7 +683,7 @@
         let full = 1.0 + FILLED * last_full.map_or(0.0, |at| self.fade(*at, BELIEF));
         let size = if self.cfg.weights == WeightKind::Off { 1.0 } else { b.row.weight.max(1e-3) };
         let far = if b.row.zone == self.cfg.zone { 1.0 } else { AFAR };
-        (b.out as f64 + others + 1.0) * slow * full * far / (size * self.warmth(b))
+        (b.waiting() + others + 1.0) * slow * full * far / (size * self.warmth(b))
     }
 
     /// Whether new work can be done within its aim; the least worth for its work gives way first.
@@ -702,14 +708,33 @@
         let within = within * (1.0 - odds * (1.0 - DOUBT * self.pace * self.pace));
         // Danger: a floor that each gateway may fill jams the fleet: two a backend in all, taken in turns.
         let floor = self.turns(2.0 * self.backends.len() as f64 / self.cfg.gateways as f64, SECOND, 0);
-        expected <= within || (self.out as f64) < floor
+        expected <= within || self.waiting() < floor
     }
 
     /// Time to completion by Little's law. Danger: one of hundreds of gateways has one request out and few
     /// completions a second; they are weighed against `PRIOR` requests at the latency of late.
     pub(crate) fn expected(&self) -> f64 {
         let late = (self.mix_lat / SECOND).max(1e-3);
-        (self.out as f64 + PRIOR) / (self.done_rate + PRIOR / late) * SECOND
+        (self.waiting() + PRIOR) / (self.done_rate + PRIOR / late) * SECOND
+    }
+
+    fn waiting(&self) -> f64 {
+        self.out.saturating_sub(self.lost) as f64
+    }
+
+    /// Finds attempts that got lost on the way. Danger: each stays out until its deadline, many times what an
+    /// answer takes; taken for work that queues, a few make a well fleet look jammed, and refusals follow.
+    /// One sent there well after it and answered has overtaken it: a queue would have kept their order.
+    fn find_lost(&mut self) {
+        for r in self.requests.values_mut().filter(|r| !r.streaming) {
+            let ahead = LOST * self.class_lat[r.class].max(self.mix_lat);
+            for a in r.attempts.iter_mut().filter(|a| a.outcome.is_none() && !a.lost) {
+                let b = self.backends.get_mut(&a.backend);
+                if let Some(b) = b.filter(|b| b.answered as f64 > a.sent as f64 + ahead) {
+                    (a.lost, b.lost, self.lost) = (true, b.lost + 1, self.lost + 1);
+                }
+            }
+        }
     }
 
     /// Worth of a class for the work it takes.
@@ -767,6 +792,7 @@
         self.done_rate += (self.done_count / span.max(1.0) * SECOND - self.done_rate) * gain;
         self.sent_rate += (self.sent_count / span.max(1.0) * SECOND - self.sent_rate) * gain;
         (self.done_count, self.sent_count, self.done_at) = (0.0, 0.0, self.now);
+        self.find_lost();
         let now = self.now;
         for (id, b) in
             self.backends.iter_mut().filter(|(_, b)| b.listed && b.row.state == BackendState::Ready)
@@ -831,7 +857,7 @@
         self.out += 1;
         self.sent_count += 1.0;
         let Some(r) = self.requests.get_mut(&id) else { return false };
-        r.attempts.push(Attempt { backend, sent: now, outcome: None });
+        r.attempts.push(Attempt { backend, sent: now, outcome: None, lost: false });
         self.acts.push(Action::Send { id, backend, timeout: None });
         if first {
             self.retry_tokens = (self.retry_tokens + RETRY_PART).min(1.0 / RETRY_PART);
@@ -862,7 +888,13 @@
         let Some(a) = attempt.filter(|a| a.outcome.is_none()) else { return };
         a.outcome = Some(outcome);
         let (bid, class, cid, units) = (a.backend, r.class, r.customer, r.units);
+        let (lost, sent) = (a.lost, a.sent);
         self.out = self.out.saturating_sub(1);
+        self.lost = self.lost.saturating_sub(u32::from(lost));
+        if let Some(b) = self.backends.get_mut(&bid) {
+            b.lost = b.lost.saturating_sub(u32::from(lost));
+            b.answered = if outcome == Outcome::Ok { b.answered.max(sent) } else { b.answered };
+        }
         if let Some(c) = self.customers.get_mut(&cid) {
             c.out = c.out.saturating_sub(1);
             // Settled costs: the first good answer tells the true units.
@@ -872,7 +904,9 @@
         r.over |= e.settled;
         let metered = e.fleet_use.filter(|used| used.is_finite() && self.cfg.meter_period > 0);
         metered.inspect(|&used| self.note_use(cid, used, None));
-        self.note_outcome(bid, class, self.kinds(id), outcome, e.elapsed as f64);
+        // That one lost on the way was waited for in vain tells nothing of its backend, nor of a queue.
+        let news = if lost && outcome == Outcome::Timeout { Outcome::Cancelled } else { outcome };
+        self.note_outcome(bid, class, self.kinds(id), news, e.elapsed as f64);
         let r = &self.requests[&id];
         if r.over {
             return self.finish(id);
--- a/src/state.rs
+++ b/src/state.rs
@@ -80,6 +80,9 @@
     pub(crate) row: BackendRow,
     pub(crate) listed: bool,
     pub(crate) out: u32,
+    /// Of these, attempts that got lost, and when the last one that it has answered was sent.
+    pub(crate) lost: u32,
+    pub(crate) answered: Micros,
     /// Latency against the fleet's for the same class: 1 is usual.
     pub(crate) slow: f64,
     pub(crate) slow_at: Micros,
@@ -105,6 +108,8 @@
     pub(crate) sent: Micros,
     /// How it ended; `None` while out.
     pub(crate) outcome: Option<Outcome>,
+    /// Others that were sent there well after it have been answered.
+    pub(crate) lost: bool,
 }
 
 #[derive(Default)]
@@ -149,6 +154,8 @@
     pub idle: f64,
     /// Attempts out.
     pub out: u32,
+    /// Of these, attempts that got lost.
+    pub lost: u32,
     /// Backends listed, and of these the ones that are not in use for their health.
     pub listed: usize,
     /// See `listed`.
@@ -211,6 +218,8 @@
     pub(crate) sent_rate: f64,
     pub(crate) sent_count: f64,
     pub(crate) out: u32,
+    /// Attempts out that got lost on the way: no work waits with them.
+    pub(crate) lost: u32,
     pub(crate) retry_tokens: f64,
     pub(crate) worth_mean: f64,
     pub(crate) mix_base: f64,
@@ -279,6 +288,7 @@
             expected: self.expected(),
             idle: self.mix_base,
             out: self.out,
+            lost: self.lost,
             listed: listed.clone().count(),
             aside: listed.filter(|b| b.health != Health::Well).count(),
             pace: self.pace,
