Take the billed units from answers, as the quota counts them in the end

Evidence: settings say cost_after, the answers carry Billed-Units, and the event that ends an attempt was built with billed: None, so a real gateway counted guesses for good. Faulty line: ended() in node/src/driver.rs; read() in node/src/backend.rs passed the field over.

--- a/node/src/backend.rs
+++ b/node/src/backend.rs
@@ -29,6 +29,7 @@
 const EMFILE: i32 = 24;
 const ENFILE: i32 = 23;
 const LOAD_HEADER: &str = "x-backend-load";
+const BILLED: &str = "billed-units";
 const NOT_RUN: &str = "x-unprocessed";
 /// Fields that concern one connection only and go no further.
 const HOP_BY_HOP: [&str; 9] = [
@@ -84,6 +85,8 @@
     holds: Cell<Duration>,
     connect: Duration,
     load_fields: Vec<LoadField>,
+    /// The most units that a request counts for.
+    units_top: f64,
     /// What answers may hold while they are read.
     bodies: Budget,
 }
@@ -92,13 +95,15 @@
 pub struct Finish {
     pub outcome: Outcome,
     pub load: LoadReport,
+    /// The true units of what was served, where the answer tells them.
+    pub billed: Option<f64>,
     /// The answer, where it was served.
     pub answer: Option<Response<Bytes>>,
 }
 
 impl From<Outcome> for Finish {
     fn from(outcome: Outcome) -> Self {
-        Finish { outcome, load: LoadReport::default(), answer: None }
+        Finish { outcome, load: LoadReport::default(), billed: None, answer: None }
     }
 }
 
@@ -122,6 +127,7 @@
             holds: Cell::new(setup.idle_retire),
             connect: Duration::from_micros(setup.module.connect_timeout),
             load_fields: setup.module.load_fields.clone(),
+            units_top: setup.module.units_top.max(1.0),
             bodies: Budget::new(setup.body_bytes),
         })
     }
@@ -262,10 +268,12 @@
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_run => Outcome::Full,
             _ => Outcome::Error,
         };
+        let billed = head.headers.get(BILLED).filter(|_| outcome == Outcome::Ok);
+        let billed = billed.and_then(|v| parse_billed(v.to_str().ok()?, self.units_top));
         strip_hop_by_hop(&mut head.headers);
         head.headers.remove(LOAD_HEADER);
         let answer = (outcome == Outcome::Ok).then(|| Response::from_parts(head, body));
-        (Finish { outcome, load, answer }, true)
+        (Finish { outcome, load, billed, answer }, true)
     }
 
     /// Asks a backend how it is, over a new connection. Danger: one is probed because it was set aside,
@@ -303,6 +311,12 @@
     }
 }
 
+/// The units that an answer tells. Danger: what is no amount that a request can take would empty or fill
+/// its customer's quota at one stroke; it is passed over, and the guess stands.
+fn parse_billed(text: &str, most: f64) -> Option<f64> {
+    text.trim().parse::<f64>().ok().filter(|units| (0.0..=most).contains(units))
+}
+
 fn parse_load(fields: &[LoadField], text: &str) -> LoadReport {
     // A value that is not told is no number: the module must not take it for a zero.
     let mut report = LoadReport { len: 0, values: [f32::NAN; 4] };
@@ -347,6 +361,14 @@
 mod tests {
     use super::*;
 
+    /// Guards against a quota emptied or filled by units that no request can take.
+    #[test]
+    fn billed_units_that_can_not_be_read_are_not_told() {
+        assert_eq!(["3", " 2.5 ", "0"].map(|t| parse_billed(t, 6.0)), [Some(3.0), Some(2.5), Some(0.0)]);
+        let odd = ["", "x", "-1", "nan", "inf", "6.1", "1e300", "3,4"];
+        assert!(odd.iter().all(|t| parse_billed(t, 6.0).is_none()));
+    }
+
     /// Guards against figures that can't be read being taken for load: neither they nor what is missing
     /// may reach the module as a number.
     #[test]
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -426,7 +426,7 @@
         let Some(open) = core.requests.get_mut(&id) else { return };
         let Some(out) = open.out.take() else { return };
         out.task.abort();
-        let Finish { outcome, load, answer } = finish;
+        let Finish { outcome, load, billed, answer } = finish;
         if let (Some(answer), Some(reply)) = (answer, open.reply.take_if(|_| outcome == Outcome::Ok)) {
             drop(reply.send(Reply::Served(answer)));
         }
@@ -435,7 +435,7 @@
         if settled {
             core.forget(id);
         }
-        let finish = Finish { outcome, load, answer: None };
+        let finish = Finish { outcome, load, billed, answer: None };
         let elapsed = now.saturating_sub(out.sent);
         core.events.push_back(ended(id, out.attempt, out.backend, elapsed, settled, finish));
     }
@@ -591,7 +591,7 @@
         elapsed,
         settled,
         fleet_use: None,
-        billed: None,
+        billed: f.billed,
         load: f.load,
     })
 }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -253,11 +253,13 @@
     pub known: Option<String>,
     pub memory_mb: u32,
     pub sockets: u32,
+    /// Changes to the settings: what is replaced, and by what.
+    pub changes: &'static [(&'static str, &'static str)],
 }
 
 impl Default for Start {
     fn default() -> Self {
-        Start { me: 0, rate: 1000.0, burst: 1000.0, known: None, memory_mb: 192, sockets: 256 }
+        Start { me: 0, rate: 1000.0, burst: 1000.0, known: None, memory_mb: 192, sockets: 256, changes: &[] }
     }
 }
 
@@ -282,13 +284,15 @@
         drop(probe);
         let known = start.known.as_ref().map(|k| format!("\"known\":{k},")).unwrap_or_default();
         let config = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{}.json", address.ip()));
+        let mut settings = settings(start.me, start.rate, start.burst);
+        for (old, new) in start.changes {
+            assert!(settings.contains(old), "{old} is not in the settings");
+            settings = settings.replace(old, new);
+        }
         let text = format!(
             r#"{{"name":"n{}","listen":"{address}","discovery":"DISCOVERY","seed":"8c1f30d27a5be964",
 "limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"counter":"COUNTER",{known}"settings":{}}}"#,
-            start.me,
-            start.memory_mb,
-            start.sockets,
-            settings(start.me, start.rate, start.burst)
+            start.me, start.memory_mb, start.sockets, settings
         );
         std::fs::write(&config, with_peers(&text, discovery, counter))
             .expect("a place for the configuration");
--- a/node/tests/gateway.rs
+++ b/node/tests/gateway.rs
@@ -135,6 +135,33 @@
     assert!(full.seen.try_iter().count() > 0 && late.seen.try_iter().count() > 0);
 }
 
+/// Guards against quotas kept by guesses: where units are settled afterwards, those that the answer bills reach
+/// the counter.
+#[test]
+fn the_units_that_an_answer_bills_are_what_the_counter_is_told() {
+    let billed = |_: &Seen| Reaction::Answer(answer("200 OK", "billed-units: 4\r\n", "x"));
+    let backend = Fake::start(billed);
+    let (told, total) = (Arc::new(Mutex::new(0.0)), Arc::new(std::sync::Condvar::new()));
+    let (sum, changed) = (told.clone(), total.clone());
+    let counter = Fake::start(move |seen| {
+        let delta = seen.path().split("delta=").nth(1).and_then(|d| d.split('&').next()?.parse::<f64>().ok());
+        let mut sum = sum.lock().expect("unpoisoned");
+        *sum += delta.expect("an amount");
+        changed.notify_all();
+        ok(&sum.to_string())
+    });
+    let changes = &[("\"units_top\":1", "\"units_top\":6,\"cost_after\":true")];
+    let start = Start { rate: 10.0, burst: 100.0, changes, ..Start::default() };
+    let scene = scene_with(start, serving(&[&backend]), counter);
+    let mut client = scene.gateway.client();
+    for _ in 0..5 {
+        assert_eq!(client.ask(&request("consulta", 7, 2000)).status(), 200);
+    }
+    let sum = told.lock().expect("unpoisoned");
+    let (sum, _) = total.wait_timeout_while(sum, LONG, |sum| *sum != 20.0).expect("unpoisoned");
+    assert_eq!(*sum, 20.0, "five requests of a guessed unit, billed four each");
+}
+
 /// Guards against answers after the client's deadline, and against attempts that stay open when
 /// nobody waits for them: giving one up means closing its connection.
 #[test]
