Carry out second copies instead of ending them as moot

Evidence: the settings allow second copies and the module orders one between 0.45 and 0.7 of the aim, yet attempts per request never passed 1.00. send() in node/src/driver.rs kept a single attempt out per request and ended any further one as moot, unsent.

Mend: a request holds all attempts that are out; the first good answer is passed on, deadline, cancel and departure of the client end each of them. What classes allow is the module's decision as before: an unsafe request gets no copy.

--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -49,7 +49,7 @@
 enum Due {
     /// An attempt's own time-out.
     Attempt(RequestId, u8),
-    /// The client's deadline: the attempt that is out ends here, as on the module's other wire.
+    /// The client's deadline: what is out ends here, as on the module's other wire.
     Deadline(RequestId),
     Module(TimerToken),
     Watchdog(RequestId),
@@ -71,7 +71,8 @@
     reply: Option<oneshot::Sender<Reply>>,
     deadline: Micros,
     attempts: u8,
-    out: Option<Out>,
+    /// The attempts that are out: where the settings allow second copies, there may be two.
+    out: Vec<Out>,
 }
 
 struct Core {
@@ -230,7 +231,7 @@
         };
         let (reply, answer) = oneshot::channel();
         let (name, message) = (terms.id, Rc::new(message));
-        let open = Open { name, message, reply: Some(reply), deadline, attempts: 0, out: None };
+        let open = Open { name, message, reply: Some(reply), deadline, attempts: 0, out: Vec::new() };
         core.requests.insert(id, open);
         core.timers.insert((deadline, Due::Deadline(id)));
         core.events.push_back(Event::Request(Arrival {
@@ -369,10 +370,7 @@
             }
             Action::Fail { id } => self.answer(core, id, Reply::Failed),
             Action::Cancel { id, attempt } => {
-                let out = core.requests.get(&id).and_then(|r| r.out.as_ref());
-                if out.is_some_and(|o| o.attempt == attempt.0) {
-                    self.end(core, now, id, Outcome::Cancelled.into());
-                }
+                self.end(core, now, id, attempt.0, Outcome::Cancelled.into());
             }
             Action::SetTimer { token, after } => {
                 core.timers.insert((now + after, Due::Module(token)));
@@ -402,7 +400,8 @@
         let Some(open) = core.requests.get_mut(&id) else { return };
         let attempt = open.attempts;
         open.attempts = attempt.saturating_add(1);
-        if open.reply.is_none() || open.out.is_some() || now >= open.deadline {
+        let alone = open.out.is_empty() || self.0.module.second_copies;
+        if open.reply.is_none() || !alone || now >= open.deadline {
             core.events.push_back(ended(id, attempt, backend, 0, open.reply.is_none(), Outcome::Moot.into()));
             return;
         }
@@ -415,24 +414,25 @@
             let finish = driver.0.pool.attempt(backend, &message, left_ms).await;
             let mut core = driver.0.core.borrow_mut();
             let now = driver.0.clock.now();
-            driver.end(&mut core, now, id, finish);
+            driver.end(&mut core, now, id, attempt, finish);
             driver.run(&mut core, now);
         });
-        open.out = Some(Out { attempt, backend, sent: now, task: task.abort_handle() });
+        open.out.push(Out { attempt, backend, sent: now, task: task.abort_handle() });
     }
 
-    /// The one end of the attempt that is out. A task that still runs is stopped, which closes its connection.
-    fn end(&self, core: &mut Core, now: Micros, id: RequestId, finish: Finish) {
+    /// The one end of an attempt that is out. A task that still runs is stopped, which closes its connection.
+    fn end(&self, core: &mut Core, now: Micros, id: RequestId, attempt: u8, finish: Finish) {
         let Some(open) = core.requests.get_mut(&id) else { return };
-        let Some(out) = open.out.take() else { return };
+        let Some(at) = open.out.iter().position(|o| o.attempt == attempt) else { return };
+        let out = open.out.swap_remove(at);
         out.task.abort();
         let Finish { outcome, load, billed, answer } = finish;
         if let (Some(answer), Some(reply)) = (answer, open.reply.take_if(|_| outcome == Outcome::Ok)) {
             drop(reply.send(Reply::Served(answer)));
         }
-        let settled = open.reply.is_none();
+        let (settled, last) = (open.reply.is_none(), open.out.is_empty());
         core.tally.attempts[outcome as usize] += 1;
-        if settled {
+        if settled && last {
             core.forget(id);
         }
         let finish = Finish { outcome, load, billed, answer: None };
@@ -440,12 +440,19 @@
         core.events.push_back(ended(id, out.attempt, out.backend, elapsed, settled, finish));
     }
 
+    /// Ends all attempts that are out for a request.
+    fn end_all(&self, core: &mut Core, now: Micros, id: RequestId, outcome: Outcome) {
+        while let Some(attempt) = core.requests.get(&id).and_then(|r| r.out.first()).map(|o| o.attempt) {
+            self.end(core, now, id, attempt, outcome.into());
+        }
+    }
+
     fn answer(&self, core: &mut Core, id: RequestId, reply: Reply) {
         let Some(open) = core.requests.get_mut(&id) else { return };
         if let Some(to) = open.reply.take() {
             drop(to.send(reply));
         }
-        if open.out.is_none() {
+        if open.out.is_empty() {
             core.forget(id);
         }
     }
@@ -463,10 +470,10 @@
         if open.reply.take().is_some() {
             core.events.push_back(Event::ClientGone { id });
         }
-        if open.out.is_some() {
-            self.end(core, now, id, Outcome::Cancelled.into());
-        } else {
+        if open.out.is_empty() {
             core.forget(id);
+        } else {
+            self.end_all(core, now, id, Outcome::Cancelled);
         }
     }
 
@@ -497,15 +504,12 @@
             let Some((_, due)) = core.timers.pop_first() else { continue };
             match due {
                 Due::Attempt(id, attempt) => {
-                    let out = core.requests.get(&id).and_then(|r| r.out.as_ref());
-                    if out.is_some_and(|o| o.attempt == attempt) {
-                        self.end(&mut core, now, id, Outcome::Timeout.into());
-                    }
+                    self.end(&mut core, now, id, attempt, Outcome::Timeout.into());
                 }
                 Due::Deadline(id) => {
                     if core.requests.contains_key(&id) {
                         core.timers.insert((now + WATCHDOG, Due::Watchdog(id)));
-                        self.end(&mut core, now, id, Outcome::Timeout.into());
+                        self.end_all(&mut core, now, id, Outcome::Timeout);
                     }
                 }
                 Due::Module(token) => core.events.push_back(Event::Timer { token }),
--- a/node/tests/gateway.rs
+++ b/node/tests/gateway.rs
@@ -135,6 +135,29 @@
     assert!(full.seen.try_iter().count() > 0 && late.seen.try_iter().count() > 0);
 }
 
+/// Guards against a safe request that is lost with the connection it went over: where second copies are
+/// allowed, one goes elsewhere while the first is out, its answer is passed on, and the first is given up.
+#[test]
+fn a_late_first_attempt_gets_its_second_copy_and_the_first_is_called_off() {
+    let met = Arc::new(AtomicUsize::new(0));
+    let start = |met: Arc<AtomicUsize>| {
+        Fake::start(move |_| match met.fetch_add(1, Ordering::SeqCst) {
+            0 => Reaction::Silence,
+            _ => ok("copy"),
+        })
+    };
+    let backends = [start(met.clone()), start(met)];
+    let changes = &[("\"second_copies\":false", "\"second_copies\":true")];
+    let start = Start { changes, ..Start::default() };
+    let scene = scene_with(start, serving(&[&backends[0], &backends[1]]), counter());
+    let answer = scene.gateway.client().ask(&request("consulta", 7, 3000));
+    assert_eq!((answer.status(), &answer.body[..]), (200, &b"copy"[..]));
+    let seen = backends.each_ref().map(Fake::next);
+    assert_eq!(seen[0].header("x-correlation-id"), seen[1].header("x-correlation-id"));
+    let silent = usize::from(seen[1].at < seen[0].at);
+    backends[silent].ended.recv_timeout(LONG).expect("the silent attempt is given up");
+}
+
 /// Guards against quotas kept by guesses: where units are settled afterwards, those that the answer bills reach
 /// the counter.
 #[test]
