Refill the part for a silent counter by traffic share, not evenly

Evidence: the log by reason shows blind 100 to 333 in 5 s and gateway from 5 to 15 s and under 10 before; the counter answers nobody from 5.8 to 13.5 s (connects time out: its room is lost), so the gateways have no totals to go by. A line for each such refusal showed customers held at own 13 of a quota of 20 with nobody else's units in the window: the split leans to an even part within a window, and the part saved up beside it refilled at rate / spread, though the shares of traffic were known (0.6 to 0.9).

Faulty line: roll() refilled slice by gained / spread. The design's part is weighted by traffic and even at the least; it is that now.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -180,7 +180,8 @@
         let Some(c) = self.customers.get_mut(&id) else { return x };
         let gained = self.cfg.plans[plan].rate * self.now.saturating_sub(c.store_at) as f64 / SECOND;
         (c.store, c.store_at) = ((c.store + gained).min(limit), self.now);
-        c.slice = (c.slice + gained / c.spread).min((limit / c.spread).max(self.cfg.units_top.max(1.0)));
+        let part = c.part();
+        c.slice = (c.slice + gained * part).min((limit * part).max(self.cfg.units_top.max(1.0)));
         if window != c.window {
             if c.cur.told_at.is_some() && c.cur.all() > 0.0 {
                 c.share += ((c.cur.own() / c.cur.all()).clamp(0.0, 1.0) - c.share) * 0.5;
@@ -293,7 +294,7 @@
         let part = lately * (1.0 - lean) + split * lean;
         let own = c.own(x) + units;
         // Danger: a window's estimate forgets a lone request only at the end of the next one, and halves
-        // a part of a unit or two. The even part is saved up as the store is, until it holds a request.
+        // a part of a unit or two. This gateway's part is saved up as the store is, until it holds a request.
         // It hurts where all gateways' shares and slices are asked for at once: up to the quota once
         // more.
         if own <= part || c.slice >= units || part >= units {
--- a/src/state.rs
+++ b/src/state.rs
@@ -61,7 +61,7 @@
     /// The store that the counts leave, replayed: a lower bound of what the customer may still use.
     pub(crate) store: f64,
     pub(crate) store_at: Micros,
-    /// An even part of that store, for this gateway alone; it holds one request at the least.
+    /// This gateway's traffic-weighted part of that store, for it alone; it holds one request at the least.
     pub(crate) slice: f64,
 }
 
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -279,3 +279,35 @@
     // Forty seconds at half a unit a second.
     assert!((18..=24).contains(&passed), "{passed} have passed");
 }
+
+/// Guards against a customer that is cut while the counter is silent though it keeps within its quota: where most
+/// of its traffic comes through here, so does most of what its store gains.
+#[test]
+fn a_silent_counter_does_not_cut_a_customer_to_an_even_part() {
+    let mut rig = Rig::new(config(), 3);
+    let mut totals = std::collections::BTreeMap::new();
+    let (mut refused, silent_from) = (0, rig.now + 12 * SEC);
+    for id in 0..66 {
+        // Three units a second here, nearly one elsewhere: four are allowed in all.
+        let mut acts = rig.ask(id, 7);
+        let until = rig.now + SEC / 3;
+        loop {
+            for (name, amount) in calls(&acts) {
+                let own = totals.entry(name).or_insert(0.0);
+                *own += amount;
+                let told =
+                    if rig.now < silent_from { Reckoned::Total(*own * 1.27) } else { Reckoned::Unanswered };
+                acts.extend(rig.counted(name, told));
+            }
+            refused += answers(&acts).len();
+            for (id, on) in sent(&acts) {
+                rig.end(id, 0, on, Outcome::Ok, 10);
+            }
+            if rig.now >= until {
+                break;
+            }
+            acts = rig.run(SEC / 30);
+        }
+    }
+    assert_eq!(refused, 0);
+}
