Tell clients when to come back also where no backend took their request

Where no backend may be sent to, or the attempts ended without an answer and a refusal is true, the module refused at once but with no advice, though the settings allow it; over quota and pressed refusals give one. Faulty lines: give_up() and the refusal after a launch that failed, both with a wait of 0. They now tell what the queue takes. The test fails without the change.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -595,7 +595,7 @@
             Verdict::Pass(counts, _) if self.launch(id) => self.charge(cid, units, counts),
             Verdict::Pass(..) => {
                 self.refusals.nowhere += 1;
-                self.refuse(id, 0);
+                self.refuse(id, self.expected() as Micros);
             }
             Verdict::Hold(counted) => {
                 // Danger: units counted for requests then refused shut others out: many are counted after.
@@ -1000,8 +1000,11 @@
 
     /// The final answer where none was served: a refusal where that is true, else a failure.
     fn give_up(&mut self, id: RequestId) {
-        let refusal = Action::Refuse { id, wait: 0 };
-        self.answer(id, if self.may_refuse(id) { refusal } else { Action::Fail { id } });
+        if self.may_refuse(id) {
+            // Clients told nothing come back at once, into what turned this one away.
+            return self.refuse(id, self.expected() as Micros);
+        }
+        self.answer(id, Action::Fail { id });
     }
 
     fn refuse(&mut self, id: RequestId, wait: Micros) {
--- a/tests/backends.rs
+++ b/tests/backends.rs
@@ -373,3 +373,16 @@
     assert!(3 * (got[0] + got[1]) < got[2] + got[3], "{got:?}");
     assert!(got[0] > 0 && got[1] > 0, "{got:?}");
 }
+
+/// Guards against a client that is turned away without a word on when to come back: it comes at once, into the
+/// same trouble.
+#[test]
+fn whoever_no_backend_can_take_is_told_when_to_come_back() {
+    let advised = Config { retry_advice: true, max_advice: 2 * SEC, max_attempts: 2, ..config() };
+    let told = |acts: &[Action]| acts.iter().any(|a| matches!(a, Action::Refuse { wait, .. } if *wait > 0));
+    let mut rig = Rig::new(advised.clone(), 0);
+    assert!(told(&rig.ask(1, 5)), "no backend is listed");
+    let mut rig = Rig::new(advised, 1);
+    let on = sent(&rig.ask(1, 5))[0].1;
+    assert!(told(&rig.end(1, 0, on, Outcome::ConnectFailed, 5)), "the only one takes no connection");
+}
