--- a/node/src/backend.rs
+++ b/node/src/backend.rs
@@ -10,7 +10,7 @@
 use hyper::header::{HeaderMap, CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -90,6 +90,10 @@
     units_top: f64,
     /// What answers may hold while they are read.
     bodies: Budget,
+    /// Out by hand, listed or not.
+    barred: RefCell<HashSet<BackendId>>,
+    /// Attempts written whole.
+    pub tries: Rc<Cell<u64>>,
 }
 
 /// What came of an attempt or a probe.
@@ -130,6 +134,8 @@
             load_fields: setup.module.load_fields.clone(),
             units_top: setup.module.units_top.max(1.0),
             bodies: Budget::new(setup.body_bytes),
+            barred: RefCell::default(),
+            tries: Rc::default(),
         })
     }
 
@@ -161,8 +167,19 @@
         self.peers.borrow_mut().values_mut().for_each(|p| p.idle.retain(keep));
     }
 
+    /// Takes a backend out by hand, or back in; connections are kept to none that is out.
+    pub fn bar(&self, id: BackendId, out: bool) {
+        let mut barred = self.barred.borrow_mut();
+        if out {
+            barred.insert(id);
+            self.close_idle(id);
+        } else {
+            barred.remove(&id);
+        }
+    }
+
     fn ready(&self, id: BackendId) -> bool {
-        self.peers.borrow().get(&id).is_some_and(|p| p.ready)
+        !self.barred.borrow().contains(&id) && self.peers.borrow().get(&id).is_some_and(|p| p.ready)
     }
 
     /// The most recently used idle connection: the others are left to retire.
@@ -201,7 +218,8 @@
     }
 
     fn put_back(&self, id: BackendId, conn: Conn) {
-        if let Some(peer) = self.peers.borrow_mut().get_mut(&id).filter(|p| p.ready && conn.link.usable()) {
+        let keep = self.ready(id) && conn.link.usable();
+        if let Some(peer) = self.peers.borrow_mut().get_mut(&id).filter(|_| keep) {
             peer.idle.push((conn, Instant::now()));
         }
     }
@@ -227,6 +245,7 @@
             let request = message.request(left_ms);
             let length = metered::length(&request);
             let before = conn.link.written();
+            conn.link.count_in(self.tries.clone(), length);
             match conn.link.send(request, length).await {
                 Ok(answer) => {
                     let (finish, whole) = self.read(answer).await;
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -10,6 +10,8 @@
 /// Descriptors that belong to none of the pools: the runtime's and the log's, the listener, one that is
 /// being accepted, discovery before and after a reload, and those that are closed but not yet given back.
 const SPARE_SOCKETS: usize = 24;
+/// Operators' connections.
+const OPS_CONNECTIONS: usize = 16;
 /// Connections that the counter holds for one gateway, less some for those it has not seen closed.
 const COUNTER_CONNECTIONS: usize = 20;
 /// The part of the memory that bodies may hold, clients' and answers each.
@@ -21,6 +23,7 @@
     listen: Option<String>,
     discovery: Option<String>,
     counter: Option<String>,
+    ops: Option<String>,
     #[serde(default)]
     seed: String,
     limits: Option<Limits>,
@@ -40,6 +43,8 @@
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     pub counter: Option<SocketAddr>,
+    /// Where operators call, if anywhere.
+    pub ops: Option<SocketAddr>,
     pub seed: u64,
     pub known: Option<List>,
     pub module: Config,
@@ -47,6 +52,7 @@
     pub client_connections: usize,
     pub backend_connections: usize,
     pub counter_connections: usize,
+    pub ops_connections: usize,
     /// Bytes that clients' bodies may hold together, and answers as many.
     pub body_bytes: usize,
     /// How long a connection to a backend may stand idle before this side closes it.
@@ -91,12 +97,17 @@
         let limits = file.limits.unwrap_or(Limits { sockets: None, memory_mb: None });
         let sockets = limits.sockets.unwrap_or(1024).min(1024);
         let body_bytes = (limits.memory_mb.unwrap_or(32) << 20) / BODY_PART;
-        let share = sockets.saturating_sub(SPARE_SOCKETS + COUNTER_CONNECTIONS) / 2;
+        let share = sockets.saturating_sub(SPARE_SOCKETS + COUNTER_CONNECTIONS + OPS_CONNECTIONS) / 2;
         let counter = match file.counter {
             Some(text) => Some(text.parse().map_err(|e| format!("counter {text:?}: {e}"))?),
             None => None,
         };
+        let ops = match std::env::var("NODE_OPS").ok().or(file.ops) {
+            Some(text) => Some(text.parse().map_err(|e| format!("ops {text:?}: {e}"))?),
+            None => None,
+        };
         Ok(Setup {
+            ops,
             name: std::env::var("NODE_NAME").ok().or(file.name).unwrap_or_default(),
             listen: address("listen", "NODE_LISTEN", file.listen)?,
             discovery: address("discovery", "NODE_DISCOVERY", file.discovery)?,
@@ -108,6 +119,7 @@
             client_connections: share.max(8),
             backend_connections: share.max(8),
             counter_connections: COUNTER_CONNECTIONS,
+            ops_connections: OPS_CONNECTIONS,
             // Danger: a request written to a connection that the backend is closing ends as a reset,
             // which for an unsafe class is a failure. Well before its limit no such race is near.
             idle_retire: idle_close.mul_f64(0.6),
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -13,7 +13,7 @@
 };
 use hyper::{Response, StatusCode};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
@@ -86,6 +86,8 @@
     acts: Vec<Action>,
     /// Listed backends by name, with the start time last told.
     names: HashMap<String, (BackendId, u64)>,
+    /// Backends out by hand, listed or not.
+    barred: BTreeMap<String, BackendId>,
     refetch: bool,
     tally: Tally,
 }
@@ -162,6 +164,7 @@
             events: VecDeque::new(),
             acts: Vec::new(),
             names: HashMap::new(),
+            barred: BTreeMap::new(),
             refetch: false,
             tally: Tally::default(),
         };
@@ -250,6 +253,36 @@
         Ok(Ticket { driver: self.clone(), id, answer, done: false })
     }
 
+    /// Takes a backend out by hand, or back in; false where none of that name is listed or out.
+    pub fn bar(&self, name: &str, out: bool) -> bool {
+        let mut core = self.0.core.borrow_mut();
+        let listed = core.names.get(name).map(|n| n.0);
+        let Some(backend) = listed.or(core.barred.get(name).copied()) else { return false };
+        if out {
+            core.barred.insert(name.to_owned(), backend);
+        } else {
+            core.barred.remove(name);
+        }
+        self.0.pool.bar(backend, out);
+        core.events.push_back(Event::Barred { backend, out });
+        self.run(&mut core, self.0.clock.now());
+        true
+    }
+
+    pub fn drain(&self, on: bool) {
+        self.feed(Event::Drain { on });
+    }
+
+    pub fn draining(&self) -> bool {
+        self.0.core.borrow().gateway.draining()
+    }
+
+    /// Backends listed, and of these the ones that get nothing new; and attempts written whole.
+    pub fn backends(&self) -> (usize, usize, u64) {
+        let v = self.0.core.borrow().gateway.vitals();
+        (v.listed, v.skipped, self.0.pool.tries.get())
+    }
+
     /// The list kept from an earlier life.
     pub fn backends_known(&self, list: List) {
         if !list.endpoints.is_empty() {
--- /dev/null
+++ b/node/src/figures.rs
@@ -0,0 +1,81 @@
+//! What operators count: requests by how they ended, requests in work.
+
+use caperwind::{ClassIx, Config};
+use hyper::StatusCode;
+use serde_json::{json, Map, Value};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+/// How a request ended; the place of its count.
+#[derive(Clone, Copy)]
+pub enum Ending {
+    Passed,
+    Dropped,
+    Failed,
+}
+
+impl Ending {
+    /// What a client takes an answer of this status for.
+    pub fn of(status: StatusCode) -> Self {
+        match status {
+            StatusCode::OK => Ending::Passed,
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => Ending::Dropped,
+            _ => Ending::Failed,
+        }
+    }
+}
+
+/// Counts since this process began.
+pub struct Figures {
+    classes: Vec<String>,
+    ended: RefCell<Vec<[u64; 3]>>,
+    in_progress: Cell<u64>,
+}
+
+/// A request in work, for as long as this lives.
+pub struct Taken(Rc<Figures>);
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        self.0.in_progress.set(self.0.in_progress.get().saturating_sub(1));
+    }
+}
+
+impl Figures {
+    pub fn new(module: &Config) -> Rc<Self> {
+        let classes: Vec<_> = module.classes.iter().map(|c| c.name.clone()).collect();
+        let ended = RefCell::new(vec![[0; 3]; classes.len()]);
+        Rc::new(Figures { classes, ended, in_progress: Cell::new(0) })
+    }
+
+    /// A request has come whole.
+    pub fn take(self: &Rc<Self>) -> Taken {
+        self.in_progress.set(self.in_progress.get() + 1);
+        Taken(self.clone())
+    }
+
+    /// Counts a request, once, where its final answer is settled.
+    pub fn settle(&self, class: ClassIx, ending: Ending) {
+        if let Some(counts) = self.ended.borrow_mut().get_mut(usize::from(class.0)) {
+            counts[ending as usize] += 1;
+        }
+    }
+
+    /// All figures, with what the driver tells: backends listed, of these skipped, and attempts written whole.
+    pub fn report(&self, (known, skipped, tries): (usize, usize, u64)) -> Value {
+        let ended = self.ended.borrow();
+        let by_class = |ending: Ending| {
+            let counts = self.classes.iter().zip(ended.iter());
+            counts.map(|(c, n)| (c.clone(), n[ending as usize].into())).collect::<Map<_, _>>()
+        };
+        json!({
+            "passed": by_class(Ending::Passed),
+            "dropped": by_class(Ending::Dropped),
+            "bad_gateway": by_class(Ending::Failed),
+            "upstream_tries": tries,
+            "in_progress": self.in_progress.get(),
+            "known_backends": known,
+            "skipped_backends": skipped,
+        })
+    }
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -8,7 +8,9 @@
 mod counter;
 mod discovery;
 mod driver;
+mod figures;
 mod metered;
+mod ops;
 mod server;
 
 use config::{Reload, Setup};
@@ -47,6 +49,7 @@
     let setup = Setup::from_env()?;
     let pool = backend::Pool::new(&setup);
     let counter = counter::Counter::new(setup.counter, setup.module.counter, setup.counter_connections);
+    let figures = figures::Figures::new(&setup.module);
     let driver = driver::Shared::new(setup.module, setup.seed, pool, counter.clone())?;
     // The module begins with the list it last had, an empty one if none.
     let none = discovery::List { index: 0, snapshot: true, endpoints: Vec::new() };
@@ -58,10 +61,15 @@
 
     let listener = TcpListener::bind(setup.listen).await.map_err(|e| format!("{}: {e}", setup.listen))?;
     let bodies = admission::Budget::new(setup.body_bytes);
-    let server = server::Server::new(driver.clone(), setup.client_connections, bodies);
+    let server = server::Server::new(driver.clone(), figures.clone(), setup.client_connections, bodies);
     tokio::task::spawn_local(server.clone().watch());
     let accept = tokio::task::spawn_local(server.clone().accept(listener));
     eprintln!("{}: listening on {}", setup.name, setup.listen);
+    if let Some(address) = setup.ops {
+        let listener = TcpListener::bind(address).await.map_err(|e| format!("ops {address}: {e}"))?;
+        let door = ops::Door::new(driver.clone(), server.clone(), figures, setup.ops_connections);
+        tokio::task::spawn_local(door.accept(listener));
+    }
 
     loop {
         tokio::select! {
--- a/node/src/metered.rs
+++ b/node/src/metered.rs
@@ -26,11 +26,14 @@
     stream: RefCell<TcpStream>,
     read: Cell<u64>,
     written: Cell<u64>,
+    /// Told once this much has been written: the request that goes out is whole then.
+    goal: RefCell<Option<(u64, Rc<Cell<u64>>)>>,
 }
 
 impl Meter {
     pub fn new(stream: TcpStream) -> Rc<Self> {
-        Rc::new(Meter { stream: RefCell::new(stream), read: Cell::new(0), written: Cell::new(0) })
+        let stream = RefCell::new(stream);
+        Rc::new(Meter { stream, read: Cell::new(0), written: Cell::new(0), goal: RefCell::default() })
     }
 
     /// Bytes taken from the socket so far.
@@ -53,6 +56,10 @@
     fn note(&self, done: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(n)) = done {
             self.0.written.set(self.0.written.get() + n as u64);
+            let mut goal = self.0.goal.borrow_mut();
+            if let Some((_, tries)) = goal.take_if(|g| self.0.written.get() >= g.0) {
+                tries.set(tries.get() + 1);
+            }
         }
         done
     }
@@ -135,6 +142,11 @@
         self.meter.written.get()
     }
 
+    /// Counts the next request, of `length` bytes, once its last one is written.
+    pub fn count_in(&self, tries: Rc<Cell<u64>>, length: u64) {
+        *self.meter.goal.borrow_mut() = Some((self.written() + length, tries));
+    }
+
     /// Sends a request of `length` bytes and waits for the head of its answer.
     pub async fn send(
         &mut self,
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -3,6 +3,7 @@
 use crate::admission::{admit, Budget};
 use crate::backend::{strip_hop_by_hop, Message, MOST_BODY};
 use crate::driver::{Reply, Shared};
+use crate::figures::{Ending, Figures};
 use crate::metered::{Meter, Metered, HEAD_BYTES};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -33,6 +34,10 @@
 /// was given less than `SETTLE` ago may still be on its way.
 const SLOW: Duration = Duration::from_millis(300);
 const SETTLE: Duration = Duration::from_millis(20);
+/// In a drain, connections are closed by an answer at first, and those that are idle after so long at once:
+/// by 2 s, so that no request taken later is in work at 4 s. One that has just come may be about to ask.
+const BY_ANSWER: Duration = Duration::from_millis(1_000);
+const ABOUT_TO_ASK: Duration = Duration::from_millis(50);
 /// How often, and how long each time, a new connection waits for another to make way.
 const ROOM: (u32, Duration) = (10, Duration::from_millis(10));
 /// One line a second at most of what may go wrong at full speed.
@@ -102,6 +107,7 @@
 /// All client connections.
 pub struct Server {
     driver: Shared,
+    figures: Rc<Figures>,
     most: usize,
     bodies: Budget,
     guests: RefCell<BTreeMap<u64, Rc<Guest>>>,
@@ -135,9 +141,9 @@
 }
 
 impl Server {
-    pub fn new(driver: Shared, most: usize, bodies: Budget) -> Rc<Self> {
+    pub fn new(driver: Shared, figures: Rc<Figures>, most: usize, bodies: Budget) -> Rc<Self> {
         let (guests, next, left) = (RefCell::default(), Cell::new(0), Notify::new());
-        Rc::new(Server { driver, most, bodies, guests, next, left })
+        Rc::new(Server { driver, figures, most, bodies, guests, next, left })
     }
 
     pub fn empty(&self) -> bool {
@@ -148,6 +154,7 @@
     pub fn close_idle(&self) {
         let guests = self.guests.borrow();
         let idle = guests.values().filter(|g| matches!(g.phase.get(), Phase::New | Phase::Idle));
+        let idle = idle.filter(|g| g.since.get().elapsed() >= ABOUT_TO_ASK);
         idle.filter(|g| g.nothing_begun()).for_each(|g| g.dismiss());
     }
 
@@ -203,8 +210,13 @@
 
     /// Looks the connections over, for as long as the program runs.
     pub async fn watch(self: Rc<Self>) {
+        let mut drained: Option<Instant> = None;
         loop {
             sleep(LOOK).await;
+            drained = self.driver.draining().then(|| drained.unwrap_or_else(Instant::now));
+            if drained.is_some_and(|at| at.elapsed() >= BY_ANSWER) {
+                self.close_idle();
+            }
             for guest in self.guests.borrow().values() {
                 let age = guest.since.get().elapsed();
                 match guest.phase.get() {
@@ -247,7 +259,7 @@
             async move {
                 let mut answer = server.answer(request, &guest).await;
                 guest.enter(Phase::Idle);
-                if server.driver.closing() {
+                if server.driver.closing() || server.driver.draining() {
                     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 Ok::<_, Infallible>(answer)
@@ -270,12 +282,17 @@
         }
     }
 
+    /// Whether clients are wanted here.
+    pub fn serving(&self) -> bool {
+        self.driver.ready() && !self.driver.closing() && !self.driver.draining()
+    }
+
     async fn answer(&self, request: Request<Incoming>, guest: &Guest) -> Answer {
         if guest.phase.get() == Phase::Idle {
             guest.enter(Phase::Coming);
         }
         if request.uri().path() == "/healthz" {
-            return match (request.method() == Method::GET, self.driver.ready() && !self.driver.closing()) {
+            return match (request.method() == Method::GET, self.serving()) {
                 (false, _) => last(StatusCode::METHOD_NOT_ALLOWED, "GET only\n"),
                 (_, true) => plain(StatusCode::OK, "ready\n"),
                 (_, false) => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
@@ -288,6 +305,7 @@
             Err((status, text)) => return last(status, text),
         };
         let Some(held) = self.bodies.take(length) else {
+            self.figures.settle(terms.class, Ending::Dropped);
             return last(StatusCode::SERVICE_UNAVAILABLE, "too much in hand\n");
         };
         let Ok(body) = Limited::new(body, MOST_BODY).collect().await else {
@@ -300,13 +318,21 @@
         let target = head.uri.path_and_query().map_or_else(Uri::default, |p| Uri::from(p.clone()));
         let message = Message { method: head.method, target, headers, body: body.to_bytes(), _held: held };
         // The request's time counts from here: its last byte has come.
+        let (class, _taken) = (terms.class, self.figures.take());
         let ticket = match self.driver.request(message, terms) {
             Ok(ticket) => ticket,
-            Err((status, text)) => return last(status, text),
+            Err((status, text)) => {
+                self.figures.settle(class, Ending::of(status));
+                return last(status, text);
+            }
         };
         match ticket.answer().await {
-            Reply::Served(answer) => answer.map(Full::new),
+            Reply::Served(answer) => {
+                self.figures.settle(class, Ending::Passed);
+                answer.map(Full::new)
+            }
             Reply::Refused { wait, tried } => {
+                self.figures.settle(class, Ending::Dropped);
                 let status =
                     if tried { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::TOO_MANY_REQUESTS };
                 let mut answer = plain(status, "refused\n");
@@ -318,7 +344,10 @@
                 }
                 answer
             }
-            Reply::Failed => plain(StatusCode::GATEWAY_TIMEOUT, "failed\n"),
+            Reply::Failed => {
+                self.figures.settle(class, Ending::Failed);
+                plain(StatusCode::GATEWAY_TIMEOUT, "failed\n")
+            }
         }
     }
 }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, Command, ExitStatus};
 use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Condvar, Mutex};
@@ -267,9 +267,16 @@
     text.replace("DISCOVERY", &discovery.to_string()).replace("COUNTER", &counter.to_string())
 }
 
+/// A port that is free now, on an address that no other test uses.
+fn free_port() -> SocketAddr {
+    let probe = TcpListener::bind((own_address(), 0)).expect("a free port");
+    probe.local_addr().expect("an address")
+}
+
 /// The program, running.
 pub struct Gateway {
     pub address: SocketAddr,
+    pub ops: SocketAddr,
     child: Child,
     config: std::path::PathBuf,
     /// What the file says, with places for the peers' addresses.
@@ -278,10 +285,7 @@
 
 impl Gateway {
     pub fn launch(start: &Start, discovery: SocketAddr, counter: SocketAddr) -> Self {
-        // A port that is free now, on an address that no other test uses.
-        let probe = TcpListener::bind((own_address(), 0)).expect("a free port");
-        let address = probe.local_addr().expect("an address");
-        drop(probe);
+        let (address, ops) = (free_port(), free_port());
         let known = start.known.as_ref().map(|k| format!("\"known\":{k},")).unwrap_or_default();
         let config = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{}.json", address.ip()));
         let mut settings = settings(start.me, start.rate, start.burst);
@@ -301,10 +305,11 @@
             .env("NODE_NAME", format!("n{}", start.me))
             .env("NODE_LISTEN", address.to_string())
             .env("NODE_DISCOVERY", discovery.to_string())
-            .stderr(Stdio::null())
+            .env("NODE_OPS", ops.to_string())
+            .stderr(std::fs::File::create(config.with_extension("log")).expect("a place for the log"))
             .spawn()
             .expect("the program starts");
-        Gateway { address, child, config, text }
+        Gateway { address, ops, child, config, text }
     }
 
     /// Replaces the file by one that names these peers, and says so.
@@ -326,7 +331,8 @@
         let gateway = Self::launch(start, discovery, counter);
         let until = Instant::now() + LONG;
         while gateway.health() != Some(200) {
-            assert!(Instant::now() < until, "the gateway does not become ready");
+            let log = || std::fs::read_to_string(gateway.config.with_extension("log"));
+            assert!(Instant::now() < until, "the gateway does not become ready: {:?}", log());
             std::thread::sleep(Duration::from_millis(5));
         }
         gateway
@@ -340,6 +346,21 @@
         client.answer().map(|a| a.status())
     }
 
+    /// One call at the operators' door.
+    pub fn call(&self, call: &str) -> Seen {
+        let mut client = self.caller();
+        client.ask(&format!("{call} HTTP/1.1\r\nhost: t\r\n\r\n"))
+    }
+
+    pub fn caller(&self) -> Client {
+        Client::over(TcpStream::connect(self.ops).expect("the door opens"))
+    }
+
+    /// The figures, as the door tells them.
+    pub fn figures(&self) -> serde_json::Value {
+        serde_json::from_slice(&self.call("GET /metrics").body).expect("figures")
+    }
+
     pub fn client(&self) -> Client {
         Client::over(TcpStream::connect(self.address).expect("the gateway accepts"))
     }
@@ -370,6 +391,7 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.config);
+        let _ = std::fs::remove_file(self.config.with_extension("log"));
     }
 }
 
--- a/src/api.rs
+++ b/src/api.rs
@@ -560,6 +560,18 @@
         /// Request.
         id: RequestId,
     },
+    /// A backend is taken out by hand, or put back; holds whatever the list says.
+    Barred {
+        /// Backend.
+        backend: BackendId,
+        /// Out; else back in.
+        out: bool,
+    },
+    /// Operators send the clients away, or let them come again.
+    Drain {
+        /// Away.
+        on: bool,
+    },
     /// A timer has come due.
     Timer {
         /// Its token.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -121,6 +121,8 @@
             }
             Event::AttemptEnded(e) => self.on_attempt(e),
             Event::ClientGone { id } => self.close(id),
+            Event::Barred { backend, out } => self.on_barred(backend, out),
+            Event::Drain { on } => self.draining = on,
             Event::Timer { token } => match self.timers.remove(&token.0) {
                 Some(Task::Beat) => self.beat(),
                 Some(Task::Deadlines) => self.on_deadlines(token),
@@ -647,8 +649,9 @@
         (from + (1.0 - from) * self.since(at) / warm).min(1.0)
     }
 
-    fn usable(&self, b: &Backend) -> bool {
-        b.listed && b.row.state == BackendState::Ready && b.health == Health::Well
+    pub(crate) fn usable(&self, b: &Backend) -> bool {
+        let wanted = b.listed && b.row.state == BackendState::Ready && b.health == Health::Well;
+        wanted && !self.barred.contains(&b.row.backend)
     }
 
     fn pick(&mut self, id: RequestId) -> Option<BackendId> {
@@ -771,6 +774,17 @@
         }
     }
 
+    /// Takes a backend out by hand, or back in. Danger: it was restarted meanwhile, and the list may tell
+    /// that late: what was known of the old process is dropped, and the new one is taken to be cold.
+    fn on_barred(&mut self, backend: BackendId, out: bool) {
+        if out {
+            self.barred.insert(backend);
+        } else if let (true, Some(b)) = (self.barred.remove(&backend), self.backends.get_mut(&backend)) {
+            (b.health, b.slow, b.fails, b.errors, b.breaks) = (Health::Well, 1.0, 0, 0.0, 0.0);
+            b.guessed = Some(self.now);
+        }
+    }
+
     /// Takes a backend out of use; one taken to be dead returns cold. Danger: where all are slow none is
     /// an outlier; only the dead are set aside once a third of the fleet is.
     fn set_aside(&mut self, id: BackendId, dead: bool) {
@@ -801,9 +815,9 @@
         (self.done_count, self.sent_count, self.done_at) = (0.0, 0.0, self.now);
         self.find_lost();
         let now = self.now;
-        for (id, b) in
-            self.backends.iter_mut().filter(|(_, b)| b.listed && b.row.state == BackendState::Ready)
-        {
+        let ready = |b: &Backend| b.listed && b.row.state == BackendState::Ready;
+        let barred = &self.barred;
+        for (id, b) in self.backends.iter_mut().filter(|(id, b)| ready(b) && !barred.contains(id)) {
             match b.health {
                 Health::Aside { until, wait, dead } if now >= until => {
                     b.health = Health::Trial { wait, dead }
--- a/src/state.rs
+++ b/src/state.rs
@@ -163,6 +163,8 @@
     pub listed: usize,
     /// See `listed`.
     pub aside: usize,
+    /// Backends listed that get nothing new: out by hand, draining, or aside for their health.
+    pub skipped: usize,
     /// Pace of calls to the counter, and how many may be out.
     pub pace: f64,
     /// See `pace`.
@@ -205,6 +207,9 @@
     pub(crate) call_lost: f64,
     pub(crate) counter_trial: Micros,
     pub(crate) backends: BTreeMap<BackendId, Backend>,
+    /// Backends out by hand, listed or not.
+    pub(crate) barred: BTreeSet<BackendId>,
+    pub(crate) draining: bool,
     pub(crate) requests: BTreeMap<RequestId, Request>,
     /// When open requests end, and the one timer that is set for them: when, and its token.
     pub(crate) deadlines: BTreeSet<(Micros, RequestId)>,
@@ -293,12 +298,18 @@
             out: self.out,
             lost: self.lost,
             listed: listed.clone().count(),
-            aside: listed.filter(|b| b.health != Health::Well).count(),
+            aside: listed.clone().filter(|b| b.health != Health::Well).count(),
+            skipped: listed.filter(|b| !self.usable(b)).count(),
             pace: self.pace,
             calls_most: self.calls_most,
         }
     }
 
+    /// Whether clients are to be sent away.
+    pub fn draining(&self) -> bool {
+        self.draining
+    }
+
     /// What is left of news of then: 1 now, fading `over` this long.
     pub(crate) fn fade(&self, at: Micros, over: f64) -> f64 {
         (-self.since(at) / over).exp()
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -106,6 +106,54 @@
     }
 }
 
+#[test]
+fn rule_3_a_backend_out_by_hand_gets_nothing_whatever_the_list_says() {
+    let mut rig = Rig::new(config(), 2);
+    let ask = |rig: &mut Rig, from: u32| -> Vec<_> {
+        sent(&(from..from + 20).flat_map(|n| rig.ask(n, 100 + u64::from(n))).collect::<Vec<_>>())
+    };
+    let bar = |rig: &mut Rig, out| rig.feed(Event::Barred { backend: backend(0), out });
+    // Twice out is out once.
+    bar(&mut rig, true);
+    bar(&mut rig, true);
+    let started = rig.now;
+    for (kind, state) in [(ListKind::Delta, BackendState::Gone), (ListKind::Full, BackendState::Ready)] {
+        let rows = [0, 1].map(|n| BackendRow::new(backend(n), state));
+        let rows = rows.into_iter().filter(|r| state == BackendState::Ready || r.backend == backend(0));
+        let start = |r: &BackendRow| if r.backend == backend(0) { started } else { 0 };
+        let rows = rows.map(|r| BackendRow { started: start(&r), ..r }).collect();
+        rig.feed(Event::Backends { kind, version: 2, rows });
+        let all = ask(&mut rig, if kind == ListKind::Delta { 0 } else { 20 });
+        assert!(all.len() > 5 && all.iter().all(|s| s.1 == backend(1)), "{state:?}");
+    }
+    assert_eq!(rig.gateway.vitals().skipped, 1);
+    bar(&mut rig, false);
+    assert_eq!(rig.gateway.vitals().skipped, 0);
+}
+
+#[test]
+fn rule_4_a_backend_put_back_by_hand_is_cold() {
+    let mut rig = Rig::new(config(), 2);
+    let count = |rig: &mut Rig, from: u32| -> [usize; 2] {
+        let all: Vec<_> = (from..from + 40).flat_map(|n| rig.ask(n, 100 + u64::from(n))).collect();
+        [0, 1].map(|n| sent(&all).iter().filter(|s| s.1 == backend(n)).count())
+    };
+    rig.feed(Event::Barred { backend: backend(0), out: true });
+    rig.run(4 * SEC);
+    rig.feed(Event::Barred { backend: backend(0), out: false });
+    let [back, other] = count(&mut rig, 0);
+    assert!(2 * back < other, "{back} of {other}");
+}
+
+#[test]
+fn a_drain_is_kept_until_it_ends() {
+    let mut rig = Rig::new(config(), 1);
+    for on in [true, true, false] {
+        rig.feed(Event::Drain { on });
+        assert_eq!(rig.gateway.draining(), on);
+    }
+}
+
 #[test]
 fn rule_3_a_backend_absent_from_a_full_list_gets_nothing_new() {
     let mut rig = Rig::new(config(), 2);
