--- a/node/src/backend.rs
+++ b/node/src/backend.rs
@@ -80,7 +80,7 @@
 pub struct Pool {
     peers: RefCell<HashMap<BackendId, Peer>>,
     open: Rc<Cell<usize>>,
-    most: usize,
+    most: Cell<usize>,
     /// The longest that a connection may stand idle, as told, and as far as it has proved to hold.
     retire: Duration,
     holds: Cell<Duration>,
@@ -127,7 +127,7 @@
         Rc::new(Pool {
             peers: RefCell::default(),
             open: Rc::default(),
-            most: setup.backend_connections,
+            most: Cell::new(setup.alone.backends),
             retire: setup.idle_retire,
             holds: Cell::new(setup.idle_retire),
             connect: Duration::from_micros(setup.module.connect_timeout),
@@ -195,12 +195,29 @@
         None
     }
 
+    /// Drops the longest idle connection; `None` where none is idle.
+    fn drop_oldest(&self) -> Option<()> {
+        let mut peers = self.peers.borrow_mut();
+        let oldest = peers.values_mut().filter(|p| !p.idle.is_empty()).min_by_key(|p| p.idle[0].1)?;
+        oldest.idle.remove(0);
+        Some(())
+    }
+
+    /// Connections held.
+    pub fn held(&self) -> usize {
+        self.open.get()
+    }
+
+    /// From now on holds so many connections at most, as far as idle ones can make way.
+    pub fn hold(&self, most: usize) {
+        self.most.set(most);
+        while self.open.get() > most && self.drop_oldest().is_some() {}
+    }
+
     /// Room for one more connection; at the bound, the longest idle one makes way.
     fn seat(&self) -> Option<Seat> {
-        if self.open.get() >= self.most {
-            let mut peers = self.peers.borrow_mut();
-            let oldest = peers.values_mut().filter(|p| !p.idle.is_empty()).min_by_key(|p| p.idle[0].1)?;
-            oldest.idle.remove(0);
+        while self.open.get() >= self.most.get() {
+            self.drop_oldest()?;
         }
         self.open.set(self.open.get() + 1);
         Some(Seat(self.open.clone()))
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -3,17 +3,21 @@
 use crate::discovery::List;
 use caperwind::Config;
 use serde::de::DeserializeOwned;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use std::os::fd::RawFd;
+use std::path::PathBuf;
 use std::time::Duration;
 
 /// Descriptors that belong to none of the pools: the runtime's and the log's, the listener, one that is
 /// being accepted, discovery before and after a reload, and those that are closed but not yet given back.
 const SPARE_SOCKETS: usize = 24;
 /// Operators' connections.
-const OPS_CONNECTIONS: usize = 16;
-/// Connections that the counter holds for one gateway, less some for those it has not seen closed.
+const OPS_CONNECTIONS: usize = 8;
+/// Connections that the counter holds for one gateway (32), less some for those it has not seen closed; and
+/// what each of two processes may have.
 const COUNTER_CONNECTIONS: usize = 20;
+const COUNTER_PAIRED: usize = 10;
 /// The part of the memory that bodies may hold, clients' and answers each.
 const BODY_PART: usize = 8;
 
@@ -37,6 +41,37 @@
     memory_mb: Option<usize>,
 }
 
+/// Connections that a process holds.
+#[derive(Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Held {
+    pub clients: usize,
+    pub backends: usize,
+}
+
+/// Bounds on connections, so that all of them together fit the descriptor limit.
+#[derive(Clone, Copy)]
+pub struct Bounds {
+    pub clients: usize,
+    pub backends: usize,
+    pub counter: usize,
+}
+
+impl Bounds {
+    /// For so many processes together, but `counter`, which is for each.
+    fn of(sockets: usize, processes: usize, counter: usize) -> Self {
+        let left = sockets.saturating_sub(processes * (SPARE_SOCKETS + counter + OPS_CONNECTIONS));
+        let share = (left / 2).max(8);
+        Bounds { clients: share, backends: share, counter }
+    }
+
+    /// What another process leaves of what both may hold, and some in any case: without, nothing moves.
+    pub fn beside(self, other: Held) -> Self {
+        let left = |most: usize, held: usize| most.saturating_sub(held).max(most / 8);
+        let (clients, backends) = (left(self.clients, other.clients), left(self.backends, other.backends));
+        Bounds { clients, backends, ..self }
+    }
+}
+
 /// Everything the program needs to start.
 pub struct Setup {
     pub name: String,
@@ -48,10 +83,13 @@
     pub seed: u64,
     pub known: Option<List>,
     pub module: Config,
-    /// Bounds on connections, so that all of them together fit the descriptor limit.
-    pub client_connections: usize,
-    pub backend_connections: usize,
-    pub counter_connections: usize,
+    /// Bounds on connections while this process serves alone, and for two together.
+    pub alone: Bounds,
+    pub paired: Bounds,
+    /// The clients' listening socket, where the platform holds it.
+    pub inherited: Option<RawFd>,
+    /// Where two processes of this gateway meet.
+    pub meet: Option<PathBuf>,
     pub ops_connections: usize,
     /// Bytes that clients' bodies may hold together, and answers as many.
     pub body_bytes: usize,
@@ -97,7 +135,6 @@
         let limits = file.limits.unwrap_or(Limits { sockets: None, memory_mb: None });
         let sockets = limits.sockets.unwrap_or(1024).min(1024);
         let body_bytes = (limits.memory_mb.unwrap_or(32) << 20) / BODY_PART;
-        let share = sockets.saturating_sub(SPARE_SOCKETS + COUNTER_CONNECTIONS + OPS_CONNECTIONS) / 2;
         let counter = match file.counter {
             Some(text) => Some(text.parse().map_err(|e| format!("counter {text:?}: {e}"))?),
             None => None,
@@ -106,19 +143,27 @@
             Some(text) => Some(text.parse().map_err(|e| format!("ops {text:?}: {e}"))?),
             None => None,
         };
+        let inherited = match std::env::var("NODE_FD") {
+            Ok(text) => Some(text.parse().map_err(|e| format!("NODE_FD {text:?}: {e}"))?),
+            Err(_) => None,
+        };
+        let listen = address("listen", "NODE_LISTEN", file.listen)?;
+        // Danger: without a folder of its own, this would be one that other gateways use, too.
+        let meet = std::env::var_os("TMPDIR").map(|dir| PathBuf::from(dir).join(format!("{listen}.sock")));
         Ok(Setup {
             ops,
             name: std::env::var("NODE_NAME").ok().or(file.name).unwrap_or_default(),
-            listen: address("listen", "NODE_LISTEN", file.listen)?,
+            listen,
             discovery: address("discovery", "NODE_DISCOVERY", file.discovery)?,
             counter,
             seed: u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| rough_seed(&file.seed)),
             known: file.known,
             module,
             body_bytes,
-            client_connections: share.max(8),
-            backend_connections: share.max(8),
-            counter_connections: COUNTER_CONNECTIONS,
+            alone: Bounds::of(sockets, 1, COUNTER_CONNECTIONS),
+            paired: Bounds::of(sockets, 2, COUNTER_PAIRED),
+            inherited,
+            meet,
             ops_connections: OPS_CONNECTIONS,
             // Danger: a request written to a connection that the backend is closing ends as a reset,
             // which for an unsafe class is a failure. Well before its limit no such race is near.
--- a/node/src/counter.rs
+++ b/node/src/counter.rs
@@ -23,7 +23,7 @@
 pub struct Counter {
     address: Cell<Option<SocketAddr>>,
     limit: Duration,
-    most: usize,
+    most: Cell<usize>,
     open: Cell<usize>,
     /// To the present address only.
     idle: RefCell<Vec<(Link, Instant)>>,
@@ -35,7 +35,7 @@
 impl Seat {
     fn take(counter: &Rc<Counter>) -> Option<Self> {
         let open = counter.open.get() + counter.idle.borrow().len();
-        (open < counter.most).then(|| {
+        (open < counter.most.get()).then(|| {
             counter.open.set(counter.open.get() + 1);
             Seat(counter.clone())
         })
@@ -51,10 +51,17 @@
 impl Counter {
     pub fn new(address: Option<SocketAddr>, limits: Option<Limits>, most: usize) -> Rc<Self> {
         let limit = Duration::from_micros(limits.map_or(80_000, |l| l.timeout));
-        let (address, open, idle) = (Cell::new(address), Cell::new(0), RefCell::default());
+        let (address, most) = (Cell::new(address), Cell::new(most));
+        let (open, idle) = (Cell::new(0), RefCell::default());
         Rc::new(Counter { address, limit, most, open, idle })
     }
 
+    /// From now on holds so many connections at most, once the calls that are out have ended.
+    pub fn hold(&self, most: usize) {
+        self.most.set(most);
+        self.idle.borrow_mut().truncate(most.saturating_sub(self.open.get()));
+    }
+
     /// Later calls go to this address. Calls that are out end where they are: none goes out again.
     pub fn move_to(&self, address: SocketAddr) {
         if self.address.replace(Some(address)) != Some(address) {
@@ -91,7 +98,8 @@
                 }
             };
             drop(seat);
-            let again = link.filter(|link| link.usable() && counter.address.get() == address);
+            let room = counter.open.get() + counter.idle.borrow().len() < counter.most.get();
+            let again = link.filter(|link| room && link.usable() && counter.address.get() == address);
             counter.idle.borrow_mut().extend(again.map(|link| (link, Instant::now())));
         });
     }
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -6,7 +6,7 @@
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -24,7 +24,7 @@
 const MOST_BYTES: usize = 4 << 20;
 
 /// A list of backends in discovery's form.
-#[derive(Deserialize)]
+#[derive(Serialize, Deserialize)]
 pub struct List {
     pub index: u64,
     #[serde(default)]
@@ -32,7 +32,7 @@
     pub endpoints: Vec<Endpoint>,
 }
 
-#[derive(Deserialize)]
+#[derive(Clone, Serialize, Deserialize)]
 pub struct Endpoint {
     pub name: String,
     pub address: SocketAddr,
@@ -53,7 +53,7 @@
     1.0
 }
 
-#[derive(Deserialize, Clone, Copy)]
+#[derive(Serialize, Deserialize, Clone, Copy)]
 #[serde(rename_all = "UPPERCASE")]
 pub enum Status {
     Serving,
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use caperwind::{
     Action, Arrival, AttemptIx, BackendId, BackendRow, BackendState, CellIx, Config, Ended, Event, Gateway,
-    KindIx, ListKind, Micros, Outcome, Reckoned, Refusals, RequestId, TimerToken, ZoneIx,
+    KindIx, Legacy, ListKind, Micros, Outcome, Reckoned, Refusals, RequestId, Spent, TimerToken, ZoneIx,
 };
 use hyper::{Response, StatusCode};
 use std::cell::{Cell, RefCell};
@@ -84,8 +84,8 @@
     timers: BTreeSet<(Micros, Due)>,
     events: VecDeque<Event>,
     acts: Vec<Action>,
-    /// Listed backends by name, with the start time last told.
-    names: HashMap<String, (BackendId, u64)>,
+    /// Listed backends by name, as last told.
+    names: HashMap<String, (BackendId, Endpoint)>,
     /// Backends out by hand, listed or not.
     barred: BTreeMap<String, BackendId>,
     refetch: bool,
@@ -112,6 +112,8 @@
     counter: Rc<Counter>,
     wake: Notify,
     ready: Cell<bool>,
+    /// Discovery itself has told a list.
+    told: Notify,
     closing: Cell<Option<Micros>>,
 }
 
@@ -176,6 +178,7 @@
             counter,
             wake: Notify::new(),
             ready: Cell::new(false),
+            told: Notify::new(),
             closing: Cell::new(None),
         })))
     }
@@ -253,11 +256,17 @@
         Ok(Ticket { driver: self.clone(), id, answer, done: false })
     }
 
-    /// Takes a backend out by hand, or back in; false where none of that name is listed or out.
-    pub fn bar(&self, name: &str, out: bool) -> bool {
+    /// Whether a backend of that name is listed or out by hand.
+    pub fn knows(&self, name: &str) -> bool {
+        let core = self.0.core.borrow();
+        core.names.contains_key(name) || core.barred.contains_key(name)
+    }
+
+    /// Takes a backend out by hand, or back in; one that is not listed yet, too.
+    pub fn bar(&self, name: &str, out: bool) {
         let mut core = self.0.core.borrow_mut();
-        let listed = core.names.get(name).map(|n| n.0);
-        let Some(backend) = listed.or(core.barred.get(name).copied()) else { return false };
+        let listed = core.names.get(name).map(|n| n.0).or(core.barred.get(name).copied());
+        let backend = listed.unwrap_or_else(|| id_of(name, &core.names));
         if out {
             core.barred.insert(name.to_owned(), backend);
         } else {
@@ -266,7 +275,38 @@
         self.0.pool.bar(backend, out);
         core.events.push_back(Event::Barred { backend, out });
         self.run(&mut core, self.0.clock.now());
-        true
+    }
+
+    /// What the next process of this gateway is to know beside what the module knows.
+    pub fn listed(&self) -> (List, Vec<String>) {
+        let core = self.0.core.borrow();
+        let endpoints = core.names.values().map(|(_, e)| e.clone()).collect();
+        (List { index: 0, snapshot: true, endpoints }, core.barred.keys().cloned().collect())
+    }
+
+    pub fn legacy(&self) -> Legacy {
+        self.0.core.borrow().gateway.legacy()
+    }
+
+    pub fn spent(&self) -> Vec<Spent> {
+        self.0.core.borrow_mut().gateway.spent()
+    }
+
+    pub fn inherit(&self, legacy: Legacy) {
+        self.feed(Event::Inherited(Box::new(legacy)));
+    }
+
+    pub fn take_over(&self, spent: Vec<Spent>) {
+        self.feed(Event::Spent(spent));
+    }
+
+    pub fn paired(&self, on: bool) {
+        self.feed(Event::Paired { on });
+    }
+
+    /// Waits until discovery has told a list.
+    pub async fn told(&self) {
+        self.0.told.notified().await;
     }
 
     pub fn drain(&self, on: bool) {
@@ -294,6 +334,7 @@
     /// News from discovery; true where the module has asked for the whole list.
     pub fn backends_told(&self, list: List) -> bool {
         self.0.ready.set(true);
+        self.0.told.notify_one();
         let kind = list_kind(&list);
         self.take_list(list, kind);
         std::mem::take(&mut self.0.core.borrow_mut().refetch)
@@ -327,7 +368,7 @@
     /// A backend as the module knows it; `None` for one more than may be remembered.
     fn row(&self, core: &mut Core, e: Endpoint) -> Option<BackendRow> {
         let (state, module) = (BackendState::from(e.status), &self.0.module);
-        let known = core.names.get(&e.name).copied();
+        let known = core.names.get(&e.name).map(|(id, e)| (*id, e.since_ms));
         if known.is_none() && core.names.len() >= MOST_BACKENDS {
             return None;
         }
@@ -351,7 +392,7 @@
             core.names.remove(&e.name);
         } else {
             self.0.pool.set(backend, e.address, state == BackendState::Ready, same_process);
-            core.names.insert(e.name, (backend, e.since_ms));
+            core.names.insert(e.name.clone(), (backend, e));
         }
         Some(row)
     }
@@ -635,7 +676,7 @@
 
 /// The module's id for a backend: made from its name, which all gateways know it by and which stays
 /// when its process restarts or its address changes.
-fn id_of(name: &str, taken: &HashMap<String, (BackendId, u64)>) -> BackendId {
+fn id_of(name: &str, taken: &HashMap<String, (BackendId, Endpoint)>) -> BackendId {
     let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
     let mut hash = name.bytes().fold(0xcbf2_9ce4_8422_2325, step);
     loop {
--- a/node/src/ops.rs
+++ b/node/src/ops.rs
@@ -2,6 +2,7 @@
 
 use crate::driver::Shared;
 use crate::figures::Figures;
+use crate::handover::{Handover, Word};
 use crate::server::Server;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -32,6 +33,7 @@
     driver: Shared,
     server: Rc<Server>,
     figures: Rc<Figures>,
+    others: Rc<Handover>,
     most: usize,
 }
 
@@ -42,8 +44,14 @@
 }
 
 impl Door {
-    pub fn new(driver: Shared, server: Rc<Server>, figures: Rc<Figures>, most: usize) -> Rc<Self> {
-        Rc::new(Door { driver, server, figures, most })
+    pub fn new(
+        driver: Shared,
+        server: Rc<Server>,
+        figures: Rc<Figures>,
+        others: Rc<Handover>,
+        most: usize,
+    ) -> Rc<Self> {
+        Rc::new(Door { driver, server, figures, others, most })
     }
 
     /// Accepts for as long as the program runs. Danger: callers that say nothing must delay no other: the
@@ -97,7 +105,7 @@
             return answer;
         }
         match path {
-            "/ready" if self.server.serving() => say(StatusCode::OK, "ready\n"),
+            "/ready" if self.server.ready() => say(StatusCode::OK, "ready\n"),
             "/ready" => say(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
             "/metrics" => {
                 let report = self.figures.report(self.driver.backends()).to_string();
@@ -107,6 +115,7 @@
             }
             "/drain" | "/undrain" => {
                 self.driver.drain(path == "/drain");
+                self.others.tell(&Word::Drain { on: path == "/drain" });
                 eprintln!("ops: {path}");
                 say(StatusCode::OK, "done\n")
             }
@@ -119,9 +128,11 @@
         let (Some((_, id)), None) = (ids.next(), ids.next()) else {
             return say(StatusCode::BAD_REQUEST, "one id is wanted: ?id=ID\n");
         };
-        if !self.driver.bar(&id, out) {
+        if !self.driver.knows(&id) {
             return say(StatusCode::NOT_FOUND, "no backend of this id\n");
         }
+        self.driver.bar(&id, out);
+        self.others.tell(&Word::Bar { name: id.to_string(), out });
         eprintln!("ops: {id:?} {}", if out { "taken out" } else { "back in" });
         say(StatusCode::OK, "done\n")
     }
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -108,7 +108,10 @@
 pub struct Server {
     driver: Shared,
     figures: Rc<Figures>,
-    most: usize,
+    most: Cell<usize>,
+    /// It accepts; and another process of this gateway does when this one no longer does.
+    open: Cell<bool>,
+    succeeded: Cell<bool>,
     bodies: Budget,
     guests: RefCell<BTreeMap<u64, Rc<Guest>>>,
     next: Cell<u64>,
@@ -143,24 +146,41 @@
 impl Server {
     pub fn new(driver: Shared, figures: Rc<Figures>, most: usize, bodies: Budget) -> Rc<Self> {
         let (guests, next, left) = (RefCell::default(), Cell::new(0), Notify::new());
-        Rc::new(Server { driver, figures, most, bodies, guests, next, left })
+        let (most, open, succeeded) = (Cell::new(most), Cell::new(false), Cell::new(false));
+        Rc::new(Server { driver, figures, most, open, succeeded, bodies, guests, next, left })
     }
 
     pub fn empty(&self) -> bool {
         self.guests.borrow().is_empty()
     }
 
-    /// Closes what is between requests; what has begun gets its answer, and goes then.
-    pub fn close_idle(&self) {
+    /// From now on holds so many connections at most, as far as others can make way.
+    pub fn hold(&self, most: usize) {
+        self.most.set(most);
+    }
+
+    /// Connections held.
+    pub fn held(&self) -> usize {
+        self.guests.borrow().len()
+    }
+
+    /// Another process of this gateway serves from now on.
+    pub fn succeeded(&self) {
+        self.succeeded.set(true);
+    }
+
+    /// Closes what has been between requests for so long; what has begun gets its answer, and goes then.
+    pub fn close_idle(&self, for_long: Duration) {
         let guests = self.guests.borrow();
         let idle = guests.values().filter(|g| matches!(g.phase.get(), Phase::New | Phase::Idle));
-        let idle = idle.filter(|g| g.since.get().elapsed() >= ABOUT_TO_ASK);
+        let idle = idle.filter(|g| g.since.get().elapsed() >= for_long.max(ABOUT_TO_ASK));
         idle.filter(|g| g.nothing_begun()).for_each(|g| g.dismiss());
     }
 
     /// Accepts for as long as the program runs.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
         let mut logged: Option<Instant> = None;
+        self.open.set(true);
         loop {
             let trouble = match listener.accept().await {
                 Ok((stream, _)) if self.room().await => {
@@ -184,13 +204,13 @@
     /// Waits for a place, which another may have to leave: the bound holds at every moment.
     async fn room(&self) -> bool {
         for _ in 0..ROOM.0 {
-            if self.guests.borrow().len() < self.most {
+            if self.guests.borrow().len() < self.most.get() {
                 return true;
             }
             self.make_way();
             let _ = timeout(ROOM.1, self.left.notified()).await;
         }
-        self.guests.borrow().len() < self.most
+        self.guests.borrow().len() < self.most.get()
     }
 
     /// The one that is missed least leaves: the silent before the idle, these before the slow.
@@ -215,7 +235,10 @@
             sleep(LOOK).await;
             drained = self.driver.draining().then(|| drained.unwrap_or_else(Instant::now));
             if drained.is_some_and(|at| at.elapsed() >= BY_ANSWER) {
-                self.close_idle();
+                self.close_idle(ABOUT_TO_ASK);
+            }
+            for _ in self.most.get()..self.guests.borrow().len() {
+                self.make_way();
             }
             for guest in self.guests.borrow().values() {
                 let age = guest.since.get().elapsed();
@@ -282,9 +305,15 @@
         }
     }
 
-    /// Whether clients are wanted here.
-    pub fn serving(&self) -> bool {
-        self.driver.ready() && !self.driver.closing() && !self.driver.draining()
+    /// Whether this process serves and goes on to.
+    pub fn ready(&self) -> bool {
+        self.open.get() && self.driver.ready() && !self.driver.closing() && !self.driver.draining()
+    }
+
+    /// Whether clients are wanted at this address: another process may serve there when this one ends.
+    fn serving(&self) -> bool {
+        let goes_on = !self.driver.closing() || self.succeeded.get();
+        self.driver.ready() && goes_on && !self.driver.draining()
     }
 
     async fn answer(&self, request: Request<Incoming>, guest: &Guest) -> Answer {
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -245,6 +245,32 @@
     )
 }
 
+/// What outlives a process of a gateway: the clients' socket and a folder.
+pub struct Platform {
+    listener: TcpListener,
+    pub folder: std::path::PathBuf,
+}
+
+impl Platform {
+    pub fn new() -> Self {
+        let listener = TcpListener::bind((own_address(), 0)).expect("a free port");
+        let ip = listener.local_addr().expect("an address").ip();
+        let folder = std::env::temp_dir().join(format!("gw-{ip}"));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        Platform { listener, folder }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.listener.local_addr().expect("an address")
+    }
+}
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
 /// What a gateway is started with.
 pub struct Start {
     pub me: u32,
@@ -253,13 +279,24 @@
     pub known: Option<String>,
     pub memory_mb: u32,
     pub sockets: u32,
+    /// The platform's part, where it holds the clients' socket.
+    pub platform: Option<Platform>,
     /// Changes to the settings: what is replaced, and by what.
     pub changes: &'static [(&'static str, &'static str)],
 }
 
 impl Default for Start {
     fn default() -> Self {
-        Start { me: 0, rate: 1000.0, burst: 1000.0, known: None, memory_mb: 192, sockets: 256, changes: &[] }
+        Start {
+            me: 0,
+            rate: 1000.0,
+            burst: 1000.0,
+            known: None,
+            memory_mb: 192,
+            sockets: 256,
+            platform: None,
+            changes: &[],
+        }
     }
 }
 
@@ -285,9 +322,10 @@
 
 impl Gateway {
     pub fn launch(start: &Start, discovery: SocketAddr, counter: SocketAddr) -> Self {
-        let (address, ops) = (free_port(), free_port());
+        let ops = free_port();
+        let address = start.platform.as_ref().map_or_else(free_port, Platform::address);
         let known = start.known.as_ref().map(|k| format!("\"known\":{k},")).unwrap_or_default();
-        let config = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{}.json", address.ip()));
+        let config = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{}.json", ops.ip()));
         let mut settings = settings(start.me, start.rate, start.burst);
         for (old, new) in start.changes {
             assert!(settings.contains(old), "{old} is not in the settings");
@@ -300,7 +338,15 @@
         );
         std::fs::write(&config, with_peers(&text, discovery, counter))
             .expect("a place for the configuration");
-        let child = Command::new(env!("CARGO_BIN_EXE_badgerglade"))
+        let mut command = Command::new(env!("CARGO_BIN_EXE_badgerglade"));
+        command.env_remove("TMPDIR");
+        if let Some(platform) = &start.platform {
+            // Without unsafe code, the one descriptor that a test can hand down is the standard input.
+            let socket = platform.listener.try_clone().expect("a second handle");
+            command.stdin(std::os::fd::OwnedFd::from(socket)).env("NODE_FD", "0");
+            command.env("TMPDIR", &platform.folder);
+        }
+        let child = command
             .env("NODE_CONFIG", &config)
             .env("NODE_NAME", format!("n{}", start.me))
             .env("NODE_LISTEN", address.to_string())
@@ -338,6 +384,16 @@
         gateway
     }
 
+    /// Waits until the door says that this process serves.
+    pub fn serves(&self) {
+        let until = Instant::now() + LONG;
+        let ready = || TcpStream::connect(self.ops).is_ok() && self.call("GET /ready").status() == 200;
+        while !ready() {
+            assert!(Instant::now() < until, "the process does not serve");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     /// What `/healthz` says; `None` while nothing listens.
     pub fn health(&self) -> Option<u16> {
         let stream = TcpStream::connect(self.address).ok()?;
--- a/src/api.rs
+++ b/src/api.rs
@@ -1,6 +1,8 @@
 //! The interface of the decision module: what a gateway is told ([`Config`], [`Event`]) and what
 //! it may do ([`Action`]). Times are microseconds of the caller's clock. No decision lives here.
 
+use crate::state::Legacy;
+use serde::{Deserialize, Serialize};
 use std::fmt;
 
 /// Microseconds, on the event clock or as a span.
@@ -9,7 +11,7 @@
 macro_rules! ids {
     ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {$(
         $(#[$doc])*
-        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
         pub struct $name(pub $inner);
     )*};
 }
@@ -40,7 +42,7 @@
 }
 
 /// A backend's address; says nothing of its zone, kind or age.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 pub struct BackendId {
     /// Address bytes in network order.
     pub address: [u8; 4],
@@ -528,6 +530,17 @@
     pub load: LoadReport,
 }
 
+/// Units of a customer in a window that are not on the counter yet.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Spent {
+    /// Whose.
+    pub customer: CustomerId,
+    /// The number of the window.
+    pub window: u64,
+    /// How many; below 0 where too many were counted.
+    pub units: f64,
+}
+
 /// What happened.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
@@ -572,6 +585,15 @@
         /// Away.
         on: bool,
     },
+    /// What another process of this gateway knows, which this one is to take over from.
+    Inherited(Box<Legacy>),
+    /// Units that another process of this gateway has spent and will not tell the counter.
+    Spent(Vec<Spent>),
+    /// Another process of this gateway serves as well, or no more.
+    Paired {
+        /// Two serve.
+        on: bool,
+    },
     /// A timer has come due.
     Timer {
         /// Its token.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,4 +33,4 @@
 mod state;
 
 pub use api::*;
-pub use state::{Gateway, Refusals, Vitals};
+pub use state::{Gateway, Legacy, Refusals, Vitals};
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -123,6 +123,9 @@
             Event::ClientGone { id } => self.close(id),
             Event::Barred { backend, out } => self.on_barred(backend, out),
             Event::Drain { on } => self.draining = on,
+            Event::Inherited(legacy) => self.on_inherited(*legacy),
+            Event::Spent(all) => all.into_iter().for_each(|s| self.on_spent(s)),
+            Event::Paired { on } => self.paired = on,
             Event::Timer { token } => match self.timers.remove(&token.0) {
                 Some(Task::Beat) => self.beat(),
                 Some(Task::Deadlines) => self.on_deadlines(token),
@@ -221,7 +224,8 @@
         let x = self.roll(id);
         let c = &self.customers[&id];
         let (p, even) = (&self.cfg.plans[c.plan], 1.0 / c.spread);
-        let share = c.part();
+        // Two processes of this gateway go by the same total: each spends half of the part.
+        let share = c.part() * if self.paired { 0.5 } else { 1.0 };
         if p.at_once > 0 && c.out as f64 >= (p.at_once as f64 * share).max(1.0).floor() {
             return Verdict::Over(0);
         }
@@ -507,6 +511,43 @@
         }
     }
 
+    /// Takes over what another process of this gateway knows. What can't be is passed over.
+    fn on_inherited(&mut self, legacy: Legacy) {
+        let (plans, gateways) = (self.cfg.plans.len(), self.cfg.gateways as f64);
+        for (id, mut c) in legacy.customers {
+            if c.plan >= plans || c.window > self.now {
+                continue;
+            }
+            (c.spread, c.share) = (c.spread.clamp(1.0, gateways), c.share.clamp(0.0, 1.0));
+            (c.seen, c.store_at) = (c.seen.min(self.now), c.store_at.min(self.now));
+            self.customers.entry(id).or_insert(c);
+        }
+        for (id, cold) in legacy.backends {
+            let Some(b) = self.backends.get_mut(&id) else { continue };
+            (b.started, b.guessed) = (b.started.max(cold.started), b.guessed.max(cold.guessed));
+            b.sent.extend(cold.sent);
+        }
+        for (i, (lat, base, seen)) in legacy.classes.into_iter().enumerate().take(self.class_lat.len()) {
+            (self.class_lat[i], self.class_base[i], self.class_seen[i]) = (lat, base, seen);
+        }
+        [self.mix_lat, self.mix_base] = legacy.mix;
+    }
+
+    /// Tells the counter of what another process of this gateway has spent and can not tell any more.
+    fn on_spent(&mut self, spent: Spent) {
+        if !spent.units.is_finite() || !self.customers.contains_key(&spent.customer) {
+            return;
+        }
+        self.roll(spent.customer);
+        let Some(c) = self.customers.get_mut(&spent.customer) else { return };
+        match c.window.checked_sub(spent.window) {
+            Some(0) => c.cur.unsent += spent.units,
+            Some(1) => c.prev.unsent += spent.units,
+            _ => return,
+        }
+        self.schedule(spent.customer, 0.3 * SYNC);
+    }
+
     /// Answers the requests whose units the last call carried: a total read milliseconds ago
     /// includes them, so it is the estimate (or the store), not the part, that judges them.
     fn settle_held(&mut self, id: CustomerId, told: bool) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,10 +1,11 @@
 //! What a gateway remembers: plain data, no decisions. `src/logic.rs` decides on it.
 
 use crate::api::*;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A customer's count in one window.
-#[derive(Default, Clone)]
+#[derive(Default, Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Tally {
     /// Global units as last told by the counter.
     pub(crate) total: f64,
@@ -25,6 +26,7 @@
 }
 
 /// A request held for a fresh total.
+#[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Held {
     pub(crate) id: RequestId,
     pub(crate) units: f64,
@@ -38,7 +40,7 @@
     pub(crate) covered: bool,
 }
 
-#[derive(Default)]
+#[derive(Default, Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Customer {
     pub(crate) plan: usize,
     pub(crate) spread: f64,
@@ -50,11 +52,14 @@
     pub(crate) share: f64,
     /// Units a window that come through the others, smoothed.
     pub(crate) others: f64,
+    #[serde(skip)]
     pub(crate) sync_at: Option<Micros>,
+    #[serde(skip)]
     pub(crate) held: Vec<Held>,
     /// How often fresh totals found it over its quota, lately, and when last; 0: never judged.
     pub(crate) over: f64,
     pub(crate) judged_at: Micros,
+    #[serde(skip)]
     pub(crate) out: u32,
     pub(crate) ceiling: Option<(f64, Micros)>,
     pub(crate) seen: Micros,
@@ -115,6 +120,24 @@
     pub(crate) lost: bool,
 }
 
+/// What a process of this gateway leaves to the next one: plain figures, on the clock that both go by.
+#[derive(Default, Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Legacy {
+    pub(crate) customers: Vec<(CustomerId, Customer)>,
+    pub(crate) backends: Vec<(BackendId, Cold)>,
+    /// By class: latency, its least, and answers that these rest on.
+    pub(crate) classes: Vec<(f64, f64, u32)>,
+    pub(crate) mix: [f64; 2],
+}
+
+/// What the budget for a cold backend goes by.
+#[derive(Default, Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Cold {
+    pub(crate) started: Option<Micros>,
+    pub(crate) guessed: Option<Micros>,
+    pub(crate) sent: VecDeque<Micros>,
+}
+
 #[derive(Default)]
 pub(crate) struct Request {
     pub(crate) class: usize,
@@ -210,6 +233,8 @@
     /// Backends out by hand, listed or not.
     pub(crate) barred: BTreeSet<BackendId>,
     pub(crate) draining: bool,
+    /// Another process of this gateway serves, too: each spends half of its part.
+    pub(crate) paired: bool,
     pub(crate) requests: BTreeMap<RequestId, Request>,
     /// When open requests end, and the one timer that is set for them: when, and its token.
     pub(crate) deadlines: BTreeSet<(Micros, RequestId)>,
@@ -305,6 +330,41 @@
         }
     }
 
+    /// What the next process of this gateway is to know.
+    pub fn legacy(&self) -> Legacy {
+        let heir = |c: &Customer| {
+            let mut c = Customer { held: Vec::new(), sync_at: None, out: 0, ..c.clone() };
+            for t in [&mut c.cur, &mut c.prev] {
+                // What is not on the counter yet is known here as spent, and told there by this process.
+                let own = std::mem::take(&mut t.unsent) + std::mem::take(&mut t.in_call);
+                (t.total, t.others, t.calling) = (t.total + own, t.others + own, false);
+            }
+            c
+        };
+        let cold = |b: &Backend| Cold { started: b.started, guessed: b.guessed, sent: b.sent.clone() };
+        let classes = self.class_lat.iter().zip(&self.class_base).zip(&self.class_seen);
+        Legacy {
+            customers: self.customers.iter().map(|(id, c)| (*id, heir(c))).collect(),
+            backends: self.backends.iter().filter(|(_, b)| b.listed).map(|(id, b)| (*id, cold(b))).collect(),
+            classes: classes.map(|((lat, base), seen)| (*lat, *base, *seen)).collect(),
+            mix: [self.mix_lat, self.mix_base],
+        }
+    }
+
+    /// Takes out what this process has spent and not told the counter, for another one to tell it.
+    pub fn spent(&mut self) -> Vec<Spent> {
+        let mut all = Vec::new();
+        for (id, c) in &mut self.customers {
+            for (t, window) in [(&mut c.cur, c.window), (&mut c.prev, c.window.wrapping_sub(1))] {
+                let units = std::mem::take(&mut t.unsent);
+                if units != 0.0 {
+                    all.push(Spent { customer: *id, window, units });
+                }
+            }
+        }
+        all
+    }
+
     /// Whether clients are to be sent away.
     pub fn draining(&self) -> bool {
         self.draining
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -311,3 +311,45 @@
     }
     assert_eq!(refused, 0);
 }
+
+/// A second process of the same gateway, which takes over what the first one knows.
+fn heir(rig: &Rig) -> Rig {
+    let mut heir = Rig::new(config(), 2);
+    heir.now = rig.now;
+    heir.feed(Event::Inherited(Box::new(rig.gateway.legacy())));
+    heir
+}
+
+#[test]
+fn what_a_process_has_spent_is_not_granted_again_by_the_next() {
+    let mut rig = Rig::new(config(), 2);
+    let served = |rig: &mut Rig, from: u32| {
+        (from..from + 20).flat_map(|n| sent(&rig.ask(n, 7))).collect::<Vec<_>>().len()
+    };
+    assert!(served(&mut rig, 0) >= 4);
+    assert_eq!(served(&mut heir(&rig), 100), 0);
+}
+
+#[test]
+fn units_that_a_process_could_not_sync_are_told_by_the_next() {
+    let mut rig = Rig::new(config(), 2);
+    let spent = (0..3).flat_map(|n| sent(&rig.ask(n, 7))).count() as f64;
+    let told = |heir: &mut Rig| calls(&heir.run(2 * SEC)).iter().map(|c| c.1).sum::<f64>();
+    assert!(told(&mut heir(&rig)).abs() < 1e-9, "what the other process still tells");
+    let mut heir = heir(&rig);
+    let left = rig.gateway.spent();
+    assert_eq!(left.iter().map(|s| s.units).sum::<f64>(), spent);
+    heir.feed(Event::Spent(left));
+    assert_eq!(told(&mut heir), spent);
+    assert!(rig.gateway.spent().is_empty());
+}
+
+#[test]
+fn two_processes_spend_no_more_than_one() {
+    let served = |paired| {
+        let mut rig = Rig::new(config(), 2);
+        rig.feed(Event::Paired { on: paired });
+        (0..20).flat_map(|n| sent(&rig.ask(n, 7))).count()
+    };
+    assert!(2 * served(true) <= served(false));
+}
