--- a/benchlink/src/wire.rs
+++ b/benchlink/src/wire.rs
@@ -93,6 +93,7 @@
             first_gateway: f64::from(f.f32(38)),
             client_repeat: f.u8(42) & codes::BIT_REPEAT != 0,
             write: f.u8(42) & codes::BIT_WRITE != 0,
+            coming: false,
         }),
         codes::FLOWING => Event::Flowing {
             id,
@@ -110,6 +111,7 @@
             fleet_use: f.u16(24).checked_sub(1).map(|p| f64::from(p) / 100.0),
             billed: Some(f.u16(26)).filter(|&b| b > 0).map(f64::from),
             load: f.load(28),
+            spent: false,
         }),
         codes::EXPIRED => Event::ClientGone { id },
         codes::DEADLINE_HIT => Event::Timer { token: TimerToken(f.u64(6)) },
--- a/node/src/admission.rs
+++ b/node/src/admission.rs
@@ -1,7 +1,7 @@
 //! What is let in of what clients send: the checks of a head, and the bytes that bodies may hold in all.
 
-use crate::backend::MOST_BODY;
 use crate::driver::Terms;
+use crate::flow::MOST_BODY;
 use caperwind::{ClassIx, Config, CustomerId, Effect, PlanIx};
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
@@ -13,8 +13,9 @@
 const CUSTOMERS: u64 = 1 << 33;
 const MOST_ID: usize = 128;
 /// The fields that a request is judged by: none may come twice, as two readers may each take another.
-const ONCE: [&str; 7] = [
+const ONCE: [&str; 8] = [
     "content-length",
+    "transfer-encoding",
     "idempotency-key",
     "plan",
     "quota-info",
@@ -72,23 +73,24 @@
     }
 }
 
-/// Checks a head against the protocol, and tells how long the body is: nothing malformed reaches the module.
-pub fn admit(head: &Parts, module: &Config) -> Result<(Terms, usize), Fault> {
+/// Checks a head against the protocol, and tells how long the body is (in chunks, nobody knows): nothing malformed reaches the module.
+pub fn admit(head: &Parts, module: &Config) -> Result<(Terms, Option<u64>), Fault> {
     let headers = &head.headers;
-    // Danger: where both lengths are given, the library believes one and hides the other; a backend may
-    // believe the other one, and find a second request in the body. No client here has need of this field.
-    if headers.contains_key(TRANSFER_ENCODING) {
-        return Err((StatusCode::LENGTH_REQUIRED, "no Transfer-Encoding here\n"));
+    let chunked = headers.contains_key(TRANSFER_ENCODING);
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    if chunked && !(codings.all(|v| v.as_bytes().trim_ascii().eq_ignore_ascii_case(b"chunked"))) {
+        return Err((StatusCode::NOT_IMPLEMENTED, "Transfer-Encoding: chunked alone\n"));
     }
     let length = match (header(headers, CONTENT_LENGTH.as_str()), &head.method) {
-        (Some(text), _) => text.parse().map_err(|_| bad("Content-Length: malformed\n"))?,
-        (None, &Method::GET) => 0,
+        _ if chunked => None,
+        (Some(text), _) => Some(text.parse().map_err(|_| bad("Content-Length: malformed\n"))?),
+        (None, &Method::GET) => Some(0),
         (None, _) => return Err((StatusCode::LENGTH_REQUIRED, "Content-Length: missing\n")),
     };
-    if length > MOST_BODY {
-        return Err((StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB\n"));
+    if length.is_some_and(|n| n > MOST_BODY) {
+        return Err((StatusCode::PAYLOAD_TOO_LARGE, "body over 40 MiB\n"));
     }
-    if length > 0 && head.method == Method::GET {
+    if length.is_some_and(|n| n > 0) && head.method == Method::GET {
         return Err(bad("GET takes no body\n"));
     }
     if ONCE.iter().any(|name| headers.get_all(*name).iter().nth(1).is_some()) {
--- a/node/src/backend.rs
+++ b/node/src/backend.rs
@@ -2,12 +2,13 @@
 
 use crate::admission::{Budget, Held};
 use crate::config::Setup;
+use crate::flow::{gather, Answered, Flow, Gathered, Outbound, Source, Upload, MOST_BODY, SMALL};
 use crate::metered::{self, Broken, Link};
 use bytes::Bytes;
 use caperwind::{BackendId, LoadField, LoadReport, Outcome};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Either, Full};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderMap, CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -16,7 +17,8 @@
 use std::time::Duration;
 use tokio::time::{timeout, Instant};
 
-pub const MOST_BODY: usize = 64 * 1024;
+/// An answer in chunks, whose length is not told, is held for so long; what is not whole then is passed on.
+const GATHER: Duration = Duration::from_millis(100);
 /// A probe unanswered by then has failed.
 const PROBE: Duration = Duration::from_millis(250);
 /// Idle connections that break at their next request are kept for a shorter time from then on, down to
@@ -33,8 +35,9 @@
 const BILLED: &str = "billed-units";
 const NOT_RUN: &str = "x-unprocessed";
 /// Fields that concern one connection only and go no further.
-const HOP_BY_HOP: [&str; 9] = [
+const HOP_BY_HOP: [&str; 10] = [
     "connection",
+    "expect",
     "keep-alive",
     "proxy-connection",
     "proxy-authenticate",
@@ -63,7 +66,7 @@
 }
 
 /// A connection, counted for as long as it lives.
-struct Conn {
+pub struct Conn {
     link: Link,
     _seat: Seat,
 }
@@ -103,7 +106,7 @@
     /// The true units of what was served, where the answer tells them.
     pub billed: Option<f64>,
     /// The answer, where it was served.
-    pub answer: Option<Response<Bytes>>,
+    pub answer: Option<Response<Answered>>,
 }
 
 impl From<Outcome> for Finish {
@@ -117,9 +120,15 @@
     pub method: Method,
     pub target: hyper::Uri,
     pub headers: HeaderMap,
-    pub body: Bytes,
-    /// Its part of what bodies may hold.
-    pub _held: Held,
+    pub body: Payload,
+}
+
+/// A client's body.
+pub enum Payload {
+    /// With its part of what bodies may hold.
+    Whole { body: Bytes, _held: Held },
+    /// Still on its way; it can be sent once.
+    Coming(Rc<Source>),
 }
 
 impl Pool {
@@ -234,7 +243,7 @@
         }
     }
 
-    fn put_back(&self, id: BackendId, conn: Conn) {
+    pub fn put_back(&self, id: BackendId, conn: Conn) {
         let keep = self.ready(id) && conn.link.usable();
         if let Some(peer) = self.peers.borrow_mut().get_mut(&id).filter(|_| keep) {
             peer.idle.push((conn, Instant::now()));
@@ -243,8 +252,10 @@
 
     /// One attempt: the message goes once, over one connection. Dropping the future closes that
     /// connection, which is how an attempt is given up.
-    pub async fn attempt(&self, id: BackendId, message: &Message, left_ms: u64) -> Finish {
-        let mut reused = self.reuse(id);
+    pub async fn attempt(self: &Rc<Self>, id: BackendId, message: &Message, left_ms: u64) -> Finish {
+        // What can be sent once takes no chance with a connection that may have died unseen.
+        let once = matches!(message.body, Payload::Coming(_));
+        let mut reused = if once { None } else { self.reuse(id) };
         loop {
             let idle = reused.as_ref().map(|r| r.1);
             let conn = match reused.take() {
@@ -260,16 +271,18 @@
                 return Outcome::Full.into();
             }
             let request = message.request(left_ms);
-            let length = metered::length(&request);
-            let before = conn.link.written();
-            conn.link.count_in(self.tries.clone(), length);
+            let (head, before) = (metered::head_length(&request), conn.link.written());
+            let length = || message.body.framed().map(|body| head + body);
+            match (&message.body, length()) {
+                (Payload::Whole { .. }, Some(n)) => conn.link.meter().aim(before + n, self.tries.clone()),
+                (Payload::Coming(source), _) => {
+                    source.count_in(conn.link.meter(), self.tries.clone(), before + head)
+                }
+                _ => {}
+            }
             match conn.link.send(request, length).await {
                 Ok(answer) => {
-                    let (finish, whole) = self.read(answer).await;
-                    if whole {
-                        self.put_back(id, conn);
-                    }
-                    return finish;
+                    return self.read(id, conn, answer, true, || message.body.framed().is_some()).await
                 }
                 Err(Broken { written: true }) => {
                     // Danger: some let go of an idle connection sooner than they say, and unseen; what is
@@ -284,17 +297,31 @@
         }
     }
 
-    /// Reads an answer to its end; also whether it came whole. A spoilt one may have run.
-    async fn read(&self, answer: Response<Incoming>) -> (Finish, bool) {
+    /// Reads an answer: to its end where it is small, else its beginning, with the rest to flow. A spoilt one
+    /// may have run. `sent` tells whether all of the request has gone: the connection is of no use before.
+    async fn read(
+        self: &Rc<Self>,
+        id: BackendId,
+        conn: Conn,
+        answer: Response<Incoming>,
+        flows: bool,
+        sent: impl Fn() -> bool,
+    ) -> Finish {
         let (mut head, body) = answer.into_parts();
-        // No end is waited for that can't be kept, and no other protocol follows what was no offer of one.
-        let length = body.size_hint().upper().map_or(MOST_BODY, |n| n.try_into().unwrap_or(usize::MAX));
-        let held =
-            self.bodies.take(length).filter(|_| length <= MOST_BODY && !head.status.is_informational());
-        let body = if held.is_none() { None } else { Limited::new(body, MOST_BODY).collect().await.ok() };
         let load = self.load(head.headers.get(LOAD_HEADER).map(|v| v.as_bytes()));
-        let Some(body) = body.map(|b| b.to_bytes()) else {
-            return (Finish { load, ..Outcome::Reset.into() }, false);
+        let length = body.size_hint().exact();
+        // No end is waited for that can't be kept, and no other protocol follows what was no offer of one.
+        if length.is_some_and(|n| n > MOST_BODY) || head.status.is_informational() {
+            return Finish { load, ..Outcome::Reset.into() };
+        }
+        let flows = flows && head.status == StatusCode::OK;
+        let small = length.is_none_or(|n| n <= SMALL as u64);
+        let most = length.and_then(|n| usize::try_from(n).ok()).unwrap_or(SMALL);
+        let held = if small { self.bodies.take(most) } else { None };
+        let until = (flows && length.is_none()).then(|| Instant::now() + GATHER);
+        let body = match held {
+            Some(_) => gather(body, until).await,
+            None => Gathered::Part(Bytes::new(), body),
         };
         let not_run = head.headers.get(NOT_RUN).is_some_and(|v| v == "1");
         let outcome = match head.status {
@@ -307,33 +334,47 @@
         let billed = billed.and_then(|v| parse_billed(v.to_str().ok()?, self.units_top));
         strip_hop_by_hop(&mut head.headers);
         head.headers.remove(LOAD_HEADER);
+        let body = match body {
+            Gathered::Whole(body) => {
+                if sent() {
+                    self.put_back(id, conn);
+                }
+                Either::Left(Full::new(body))
+            }
+            Gathered::Part(first, rest) if flows => {
+                Either::Right(Flow::new(first, rest, self.clone(), id, conn))
+            }
+            // What an answer that is none of ours to pass on has to say is not waited for.
+            Gathered::Part(..) if outcome != Outcome::Ok => Either::Left(Full::default()),
+            Gathered::Part(..) | Gathered::Broken => return Finish { load, ..Outcome::Reset.into() },
+        };
         let answer = (outcome == Outcome::Ok).then(|| Response::from_parts(head, body));
-        (Finish { outcome, load, billed, answer }, true)
+        Finish { outcome, load, billed, answer }
     }
 
     /// Asks a backend how it is, over a new connection. Danger: one is probed because it was set aside,
     /// and what was open to it may lead to a machine that was cut off: silent, whatever the new one says.
-    pub async fn probe(&self, id: BackendId) -> Finish {
+    pub async fn probe(self: &Rc<Self>, id: BackendId) -> Finish {
         self.close_idle(id);
         let ask = async {
             let mut conn = match self.open(id).await {
                 Ok(conn) => conn,
                 Err(outcome) => return outcome.into(),
             };
-            let request = Request::get("/load").header(HOST, "backend.local").body(Full::default());
+            let request =
+                Request::get("/load").header(HOST, "backend.local").body(Either::Left(Full::default()));
             let Ok(request) = request else { return Outcome::Moot.into() };
-            let length = metered::length(&request);
-            let answer = match conn.link.send(request, length).await {
+            let length = metered::head_length(&request);
+            let answer = match conn.link.send(request, || Some(length)).await {
                 Ok(answer) => answer,
                 Err(Broken { written: true }) => return Outcome::Reset.into(),
                 Err(_) => return Outcome::ConnectFailed.into(),
             };
-            let (mut finish, whole) = self.read(answer).await;
-            if let (0, Some(answer)) = (finish.load.len, &finish.answer) {
-                finish.load = self.load(Some(answer.body()));
-            }
-            if whole {
-                self.put_back(id, conn);
+            let mut finish = self.read(id, conn, answer, false, || true).await;
+            let report = finish.answer.take().filter(|_| finish.load.len == 0);
+            if let Some(Either::Left(report)) = report.map(|r| r.into_body()) {
+                let text = report.collect().await.map(|b| b.to_bytes()).unwrap_or_default();
+                finish.load = self.load(Some(&text));
             }
             finish
         };
@@ -385,18 +426,40 @@
     report
 }
 
+impl Payload {
+    /// Bytes that it takes on the wire; `None` until that is known.
+    fn framed(&self) -> Option<u64> {
+        match self {
+            Payload::Whole { body, .. } => Some(body.len() as u64),
+            Payload::Coming(source) => source.framed(),
+        }
+    }
+}
+
 impl Message {
-    fn request(&self, left_ms: u64) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    /// Whether it can't be sent from its beginning any more.
+    pub fn spent(&self) -> bool {
+        matches!(&self.body, Payload::Coming(source) if source.begun())
+    }
+
+    fn request(&self, left_ms: u64) -> Request<Outbound> {
+        let (body, length) = match &self.body {
+            Payload::Whole { body, .. } => (Either::Left(Full::new(body.clone())), Some(body.len() as u64)),
+            Payload::Coming(source) => (Either::Right(Upload::new(source.clone())), source.length),
+        };
+        let mut request = Request::new(body);
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.target.clone();
         let headers = request.headers_mut();
         headers.clone_from(&self.headers);
         headers.insert("x-time-left-ms", left_ms.into());
-        if self.method == Method::POST {
-            headers.insert(CONTENT_LENGTH, self.body.len().into());
+        match length {
+            Some(length) if self.method == Method::POST => {
+                drop(headers.insert(CONTENT_LENGTH, length.into()))
+            }
+            Some(_) => {}
+            None => drop(headers.insert(TRANSFER_ENCODING, HeaderValue::from_static("chunked"))),
         }
-        headers.remove(TRANSFER_ENCODING);
         request
     }
 }
--- a/node/src/counter.rs
+++ b/node/src/counter.rs
@@ -5,7 +5,7 @@
 use crate::metered::{self, Broken, Link};
 use bytes::Bytes;
 use caperwind::{CountName, Counter as Limits, Micros, Reckoned};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Either, Full, Limited};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -126,9 +126,11 @@
 /// One call; also the connection, where it may be used again.
 async fn ask(mut link: Link, path: &str) -> (Reckoned, Option<Link>) {
     let request = hyper::Request::post(path).header("host", "counter").header("content-length", "0");
-    let Ok(request) = request.body(Full::new(Bytes::new())) else { return (Reckoned::NotAdded, None) };
-    let length = metered::length(&request);
-    let answer = match link.send(request, length).await {
+    let Ok(request) = request.body(Either::Left(Full::new(Bytes::new()))) else {
+        return (Reckoned::NotAdded, None);
+    };
+    let length = metered::head_length(&request);
+    let answer = match link.send(request, || Some(length)).await {
         Ok(answer) => answer,
         Err(Broken { written: true }) => return (Reckoned::Unanswered, None),
         Err(_) => return (Reckoned::NotAdded, None),
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -2,11 +2,11 @@
 //! It decides nothing.
 
 use crate::admission::Fault;
-use crate::backend::{Finish, Message, Pool};
+use crate::backend::{Finish, Message, Payload, Pool};
 use crate::clock::Clock;
 use crate::counter::Counter;
 use crate::discovery::{list_kind, Endpoint, List};
-use bytes::Bytes;
+use crate::flow::Answered;
 use caperwind::{
     Action, Arrival, AttemptIx, BackendId, BackendRow, BackendState, CellIx, Config, Ended, Event, Gateway,
     KindIx, Legacy, ListKind, Micros, Outcome, Reckoned, Refusals, RequestId, Spent, TimerToken, ZoneIx,
@@ -29,12 +29,14 @@
 /// Danger: an answer that crosses the client's deadline on its way is lost. The way is up to a few
 /// milliseconds, and on a core that others share a request may have stood unread for some more.
 const DEADLINE_MARGIN: Micros = 20_000;
+/// A body that is still coming is given so long, if its client keeps sending; its time counts from its end.
+const UPLOAD: Micros = 900_000_000;
 /// An answer that the module still owes this long after a deadline is given without it.
 const WATCHDOG: Micros = 2_000;
 
 /// The final answer to a request.
 pub enum Reply {
-    Served(Response<Bytes>),
+    Served(Box<Response<Answered>>),
     /// Trying again is harmless; when to, in microseconds (0: no advice), and whether it was tried.
     Refused {
         wait: Micros,
@@ -70,6 +72,8 @@
     /// Gone once the request has its final answer.
     reply: Option<oneshot::Sender<Reply>>,
     deadline: Micros,
+    /// When its last byte had come; 0: it is still coming.
+    whole: Micros,
     attempts: u8,
     /// The attempts that are out: where the settings allow second copies, there may be two.
     out: Vec<Out>,
@@ -226,7 +230,10 @@
             return Err((StatusCode::CONFLICT, "a request of this X-Correlation-Id is open\n"));
         }
         let now = self.0.clock.now();
-        let mut deadline = now + terms.wait.saturating_sub(DEADLINE_MARGIN);
+        let coming = matches!(message.body, Payload::Coming(_));
+        let whole = if coming { 0 } else { now };
+        let wait = terms.wait.saturating_sub(DEADLINE_MARGIN) + if coming { UPLOAD } else { 0 };
+        let mut deadline = now + wait;
         deadline = self.0.closing.get().map_or(deadline, |last| deadline.min(last));
         let id = loop {
             core.last_id = core.last_id.wrapping_add(1);
@@ -237,7 +244,7 @@
         };
         let (reply, answer) = oneshot::channel();
         let (name, message) = (terms.id, Rc::new(message));
-        let open = Open { name, message, reply: Some(reply), deadline, attempts: 0, out: Vec::new() };
+        let open = Open { name, message, reply: Some(reply), deadline, whole, attempts: 0, out: Vec::new() };
         core.requests.insert(id, open);
         core.timers.insert((deadline, Due::Deadline(id)));
         core.events.push_back(Event::Request(Arrival {
@@ -251,6 +258,7 @@
             first_gateway: terms.first_gateway,
             client_repeat: terms.client_repeat,
             write: false,
+            coming,
         }));
         self.run(&mut core, now);
         Ok(Ticket { driver: self.clone(), id, answer, done: false })
@@ -262,6 +270,22 @@
         core.names.contains_key(name) || core.barred.contains_key(name)
     }
 
+    /// The last byte of a request that was still coming has come: its time counts from here.
+    pub fn uploaded(&self, ticket: &Ticket, wait: Micros) {
+        let mut core = self.0.core.borrow_mut();
+        let (id, now) = (ticket.id, self.0.clock.now());
+        let Some(open) = core.requests.get_mut(&id) else { return };
+        let wanted = now + wait.saturating_sub(DEADLINE_MARGIN);
+        let deadline = self.0.closing.get().map_or(wanted, |last| wanted.min(last));
+        let before = std::mem::replace(&mut open.deadline, deadline);
+        open.whole = now;
+        core.timers.remove(&(before, Due::Deadline(id)));
+        core.timers.insert((deadline, Due::Deadline(id)));
+        core.events.push_back(Event::Uploaded { id, deadline });
+        self.0.wake.notify_one();
+        self.run(&mut core, now);
+    }
+
     /// Takes a backend out by hand, or back in; one that is not listed yet, too.
     pub fn bar(&self, name: &str, out: bool) {
         let mut core = self.0.core.borrow_mut();
@@ -475,8 +499,10 @@
         let attempt = open.attempts;
         open.attempts = attempt.saturating_add(1);
         let alone = open.out.is_empty() || self.0.module.second_copies;
-        if open.reply.is_none() || !alone || now >= open.deadline {
-            core.events.push_back(ended(id, attempt, backend, 0, open.reply.is_none(), Outcome::Moot.into()));
+        let spent = open.message.spent();
+        if open.reply.is_none() || !alone || spent || now >= open.deadline {
+            let moot = Outcome::Moot.into();
+            core.events.push_back(ended(id, attempt, backend, 0, open.reply.is_none(), spent, moot));
             return;
         }
         if let Some(limit) = limit {
@@ -502,16 +528,18 @@
         out.task.abort();
         let Finish { outcome, load, billed, answer } = finish;
         if let (Some(answer), Some(reply)) = (answer, open.reply.take_if(|_| outcome == Outcome::Ok)) {
-            drop(reply.send(Reply::Served(answer)));
+            drop(reply.send(Reply::Served(Box::new(answer))));
         }
         let (settled, last) = (open.reply.is_none(), open.out.is_empty());
+        // A backend begins once it has all of a request.
+        let (spent, began) = (open.message.spent(), out.sent.max(open.whole));
         core.tally.attempts[outcome as usize] += 1;
         if settled && last {
             core.forget(id);
         }
         let finish = Finish { outcome, load, billed, answer: None };
-        let elapsed = now.saturating_sub(out.sent);
-        core.events.push_back(ended(id, out.attempt, out.backend, elapsed, settled, finish));
+        let elapsed = now.saturating_sub(began);
+        core.events.push_back(ended(id, out.attempt, out.backend, elapsed, settled, spent, finish));
     }
 
     /// Ends all attempts that are out for a request.
@@ -645,7 +673,7 @@
 }
 
 impl Ticket {
-    pub async fn answer(mut self) -> Reply {
+    pub async fn answer(&mut self) -> Reply {
         let reply = (&mut self.answer).await.unwrap_or(Reply::Failed);
         self.done = true;
         reply
@@ -660,7 +688,15 @@
     }
 }
 
-fn ended(id: RequestId, attempt: u8, backend: BackendId, elapsed: Micros, settled: bool, f: Finish) -> Event {
+fn ended(
+    id: RequestId,
+    attempt: u8,
+    backend: BackendId,
+    elapsed: Micros,
+    settled: bool,
+    spent: bool,
+    f: Finish,
+) -> Event {
     Event::AttemptEnded(Ended {
         id,
         attempt: AttemptIx(attempt),
@@ -671,6 +707,7 @@
         fleet_use: None,
         billed: f.billed,
         load: f.load,
+        spent,
     })
 }
 
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -9,6 +9,7 @@
 mod discovery;
 mod driver;
 mod figures;
+mod flow;
 mod handover;
 mod metered;
 mod ops;
@@ -128,7 +129,9 @@
     // Danger: the front goes on opening connections for a while, and what comes on them is taken.
     tokio::time::sleep(STILL_ACCEPT).await;
     accept.abort();
-    while !(driver.idle() && server.empty()) && began.elapsed() < last_answer + LAST_BYTES {
+    // What a backend is still giving is passed on to the end, or as far as SIGKILL lets it.
+    let in_time = || began.elapsed() < last_answer + LAST_BYTES || server.flowing();
+    while !(driver.idle() && server.empty()) && in_time() {
         // Danger: a request may be on its way on any connection that is open. Those in use are closed by an
         // answer; the longer one has been idle, the less likely it is that one crosses its end.
         let idle = if began.elapsed() < BY_ANSWER { LONG_IDLE } else { Duration::ZERO };
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -1,14 +1,16 @@
 //! The client side: connections and how long they may take, the final answer on its way out.
 
 use crate::admission::{admit, Budget};
-use crate::backend::{strip_hop_by_hop, Message, MOST_BODY};
+use crate::backend::{strip_hop_by_hop, Message, Payload};
 use crate::driver::{Reply, Shared};
-use crate::figures::{Ending, Figures};
+use crate::figures::{Ending, Figures, Taken};
+use crate::flow::{gather, Flow, Gathered, Pace, Source, SMALL};
 use crate::metered::{Meter, Metered, HEAD_BYTES};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
-use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER};
+use caperwind::ClassIx;
+use http_body_util::{Either, Full};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
@@ -16,16 +18,21 @@
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
-use std::pin::pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout, Instant};
 
-/// A whole request must have come this long after the connection or, on a later one, its first byte.
-const REQUEST_WAIT: Duration = Duration::from_secs(2);
+/// A whole request must have come this long after the connection or, on a later one, its first byte; a long one
+/// has more time by its bytes. Heads may take 2 s and bodies come at 64 kB/s; 3 s is for none that is not whole.
+const REQUEST_WAIT: Duration = Duration::from_millis(2_400);
+const SLOWEST: f64 = 40_000.0;
+/// A client that has taken nothing of its answer for so long is let go.
+const STUCK: Duration = Duration::from_secs(15);
 /// A connection on which nothing is asked for longer is closed.
 const IDLE_WAIT: Duration = Duration::from_secs(5);
 /// Connections are looked over this often.
@@ -51,6 +58,8 @@
     Coming,
     /// A request is in work.
     Work,
+    /// An answer is on its way.
+    Reply,
     /// Between requests.
     Idle,
 }
@@ -62,6 +71,9 @@
     /// When the phase began, and what had been read by then.
     since: Cell<Instant>,
     read: Cell<u64>,
+    /// What had been written when that last changed, and when.
+    wrote: Cell<(u64, Instant)>,
+    pace: Rc<Pace>,
     close: Notify,
     task: OnceCell<AbortHandle>,
 }
@@ -71,6 +83,28 @@
         self.phase.set(phase);
         self.since.set(Instant::now());
         self.read.set(self.meter.read());
+        if phase != Phase::Work {
+            self.pace.begin();
+        }
+        if phase == Phase::Idle {
+            self.meter.listen();
+        }
+    }
+
+    /// Whether its request should have come by now; what this side holds up is not its fault.
+    fn overdue(&self) -> bool {
+        let come = self.meter.read().saturating_sub(self.read.get()) as f64;
+        let may = REQUEST_WAIT + Duration::from_secs_f64(come / SLOWEST) + self.pace.held_up();
+        self.since.get().elapsed() >= may
+    }
+
+    /// Whether its answer has stood still for long.
+    fn stuck(&self) -> bool {
+        let (written, at) = self.wrote.get();
+        if self.meter.written() != written {
+            self.wrote.set((self.meter.written(), Instant::now()));
+        }
+        self.meter.written() == written && at.elapsed() >= STUCK
     }
 
     /// Nothing has been read since the phase began.
@@ -128,10 +162,60 @@
     }
 }
 
-type Answer = Response<Full<Bytes>>;
+type Answer = Response<Either<Full<Bytes>, Outgoing>>;
+
+/// An answer on its way, counted by how it ends; one whose client has left is not.
+struct Outgoing {
+    flow: Flow,
+    guest: Rc<Guest>,
+    figures: Rc<Figures>,
+    class: ClassIx,
+    taken: Option<Taken>,
+}
+
+impl Outgoing {
+    fn end(&mut self, ending: Ending) {
+        if self.taken.take().is_some() {
+            self.figures.settle(self.class, ending);
+        }
+    }
+}
+
+impl Body for Outgoing {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let next = Pin::new(&mut self.flow).poll_frame(cx);
+        match &next {
+            Poll::Ready(Some(Err(_))) => self.end(Ending::Failed),
+            Poll::Ready(_) if self.flow.is_end_stream() => self.end(Ending::Passed),
+            Poll::Ready(None) => self.end(Ending::Passed),
+            _ => {}
+        }
+        next
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.flow.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.flow.size_hint()
+    }
+}
+
+impl Drop for Outgoing {
+    fn drop(&mut self) {
+        self.guest.enter(Phase::Idle);
+    }
+}
 
 fn plain(status: StatusCode, text: &'static str) -> Answer {
-    let mut answer = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    let mut answer = Response::new(Either::Left(Full::new(Bytes::from_static(text.as_bytes()))));
     *answer.status_mut() = status;
     answer
 }
@@ -159,6 +243,11 @@
         self.most.set(most);
     }
 
+    /// Whether an answer is on its way.
+    pub fn flowing(&self) -> bool {
+        self.guests.borrow().values().any(|g| g.phase.get() == Phase::Reply)
+    }
+
     /// Connections held.
     pub fn held(&self) -> usize {
         self.guests.borrow().len()
@@ -243,7 +332,8 @@
             for guest in self.guests.borrow().values() {
                 let age = guest.since.get().elapsed();
                 match guest.phase.get() {
-                    Phase::New | Phase::Coming if age >= REQUEST_WAIT => guest.cut(),
+                    Phase::New | Phase::Coming if guest.overdue() => guest.cut(),
+                    Phase::Reply if guest.stuck() => guest.cut(),
                     Phase::Idle if !guest.untouched() => guest.enter(Phase::Coming),
                     // An answer that is not read either.
                     Phase::Idle if age >= 2 * IDLE_WAIT => guest.cut(),
@@ -264,9 +354,12 @@
             phase: Cell::new(Phase::New),
             since: Cell::new(Instant::now()),
             read: Cell::new(0),
+            wrote: Cell::new((0, Instant::now())),
+            pace: Rc::default(),
             close: Notify::new(),
             task: OnceCell::new(),
         });
+        guest.meter.listen();
         self.guests.borrow_mut().insert(id, guest.clone());
         let (server, here, place) = (self.clone(), guest.clone(), Place(self.clone(), id));
         let task = tokio::task::spawn_local(async move {
@@ -281,7 +374,9 @@
             let (server, guest) = (self.clone(), guest.clone());
             async move {
                 let mut answer = server.answer(request, &guest).await;
-                guest.enter(Phase::Idle);
+                let flows = matches!(answer.body(), Either::Right(_));
+                guest.wrote.set((guest.meter.written(), Instant::now()));
+                guest.enter(if flows { Phase::Reply } else { Phase::Idle });
                 if server.driver.closing() || server.driver.draining() {
                     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
@@ -316,7 +411,7 @@
         self.driver.ready() && goes_on && !self.driver.draining()
     }
 
-    async fn answer(&self, request: Request<Incoming>, guest: &Guest) -> Answer {
+    async fn answer(&self, request: Request<Incoming>, guest: &Rc<Guest>) -> Answer {
         if guest.phase.get() == Phase::Idle {
             guest.enter(Phase::Coming);
         }
@@ -333,32 +428,91 @@
             // Where it is wrong in one thing, its end may be elsewhere than it says, too.
             Err((status, text)) => return last(status, text),
         };
-        let Some(held) = self.bodies.take(length) else {
+        let chunked = head.headers.contains_key(TRANSFER_ENCODING);
+        // Danger: what one reader takes for a body may hold a request for another, who goes by the length.
+        if chunked && guest.meter.names("content-length") != Some(false) {
+            return last(StatusCode::BAD_REQUEST, "two lengths\n");
+        }
+        let small = length.filter(|n| *n <= SMALL as u64).and_then(|n| usize::try_from(n).ok());
+        let held = self.bodies.take(small.unwrap_or(SMALL));
+        if held.is_none() && small.is_some() {
             self.figures.settle(terms.class, Ending::Dropped);
             return last(StatusCode::SERVICE_UNAVAILABLE, "too much in hand\n");
+        }
+        let gathered = match &held {
+            Some(_) => gather(body, None).await,
+            None => Gathered::Part(Bytes::new(), body),
         };
-        let Ok(body) = Limited::new(body, MOST_BODY).collect().await else {
-            return last(StatusCode::BAD_REQUEST, "broken body\n");
+        let (class, wait) = (terms.class, terms.wait);
+        let (mut taken, mut source) = (None, None);
+        let body = match (gathered, held) {
+            (Gathered::Whole(body), Some(held)) => {
+                if head.method == Method::GET && !body.is_empty() {
+                    return last(StatusCode::BAD_REQUEST, "GET takes no body\n");
+                }
+                guest.enter(Phase::Work);
+                taken = Some(self.figures.take());
+                Payload::Whole { body, _held: held }
+            }
+            (Gathered::Part(..), _) if head.method == Method::GET => {
+                return last(StatusCode::BAD_REQUEST, "GET takes no body\n");
+            }
+            (Gathered::Part(first, rest), held) => {
+                let coming = Source::new(first, held, rest, length, guest.pace.clone());
+                source = Some(coming.clone());
+                Payload::Coming(coming)
+            }
+            _ => return last(StatusCode::BAD_REQUEST, "broken body\n"),
         };
-        guest.enter(Phase::Work);
         let mut headers = head.headers;
         strip_hop_by_hop(&mut headers);
         // A target in absolute form goes on as a path, as backends expect it.
         let target = head.uri.path_and_query().map_or_else(Uri::default, |p| Uri::from(p.clone()));
-        let message = Message { method: head.method, target, headers, body: body.to_bytes(), _held: held };
-        // The request's time counts from here: its last byte has come.
-        let (class, _taken) = (terms.class, self.figures.take());
-        let ticket = match self.driver.request(message, terms) {
+        let message = Message { method: head.method, target, headers, body };
+        // The request's time counts from here, if its last byte has come.
+        let mut ticket = match self.driver.request(message, terms) {
             Ok(ticket) => ticket,
             Err((status, text)) => {
                 self.figures.settle(class, Ending::of(status));
                 return last(status, text);
             }
         };
-        match ticket.answer().await {
+        let mut reply = None;
+        if let Some(source) = &source {
+            tokio::select! {
+                settled = ticket.answer() => reply = Some(settled),
+                whole = source.ended() => {
+                    if !whole {
+                        return last(StatusCode::BAD_REQUEST, "broken body\n");
+                    }
+                    guest.enter(Phase::Work);
+                    taken = Some(self.figures.take());
+                    self.driver.uploaded(&ticket, wait);
+                }
+            }
+        }
+        let reply = match reply {
+            Some(reply) => reply,
+            None => ticket.answer().await,
+        };
+        if let Some(source) = source {
+            tokio::task::spawn_local(async move { source.drain().await });
+        }
+        match reply {
             Reply::Served(answer) => {
-                self.figures.settle(class, Ending::Passed);
-                answer.map(Full::new)
+                let (head, body) = answer.into_parts();
+                let body = match body {
+                    Either::Left(body) => {
+                        self.figures.settle(class, Ending::Passed);
+                        Either::Left(body)
+                    }
+                    Either::Right(flow) => {
+                        let (guest, figures) = (guest.clone(), self.figures.clone());
+                        let taken = taken.or_else(|| Some(self.figures.take()));
+                        Either::Right(Outgoing { flow, guest, figures, class, taken })
+                    }
+                };
+                Response::from_parts(head, body)
             }
             Reply::Refused { wait, tried } => {
                 self.figures.settle(class, Ending::Dropped);
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -53,6 +53,18 @@
         let Some((name, value)) = field.split_once(':') else { break };
         headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
     }
+    if headers.get("transfer-encoding").is_some_and(|c| c == "chunked") {
+        let mut body = Vec::new();
+        loop {
+            let size = usize::from_str_radix(&next(from)?, 16).expect("a chunk's length");
+            let at = body.len();
+            body.resize(at + size, 0);
+            from.read_exact(&mut body[at..]).ok()?;
+            if next(from)?.is_empty() && size == 0 {
+                return Some(Seen { line, headers, body, conn, at: Instant::now() });
+            }
+        }
+    }
     let length = headers.get("content-length").map_or(0, |l: &String| l.parse().expect("a length"));
     let mut body = vec![0; length];
     from.read_exact(&mut body).ok()?;
@@ -368,6 +380,13 @@
         self.signal("-HUP");
     }
 
+    /// The most memory that it has held, in MB.
+    pub fn memory_mb(&self) -> u64 {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.pid())).expect("a status");
+        let line = text.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("a figure");
+        line.trim().trim_end_matches("kB").trim().parse::<u64>().expect("a number") / 1024
+    }
+
     pub fn pid(&self) -> u32 {
         self.child.id()
     }
@@ -465,6 +484,20 @@
         self.from.get_mut().write_all(text.as_bytes()).expect("the gateway reads");
     }
 
+    /// The next line, without its end.
+    pub fn line(&mut self) -> String {
+        let mut line = String::new();
+        self.from.read_line(&mut line).expect("a line");
+        line.trim_end().to_owned()
+    }
+
+    /// Reads so many bytes.
+    pub fn take(&mut self, bytes: usize) -> Vec<u8> {
+        let mut taken = vec![0; bytes];
+        self.from.read_exact(&mut taken).expect("bytes");
+        taken
+    }
+
     pub fn answer(&mut self) -> Option<Seen> {
         read_message(&mut self.from, 0)
     }
--- a/src/api.rs
+++ b/src/api.rs
@@ -505,6 +505,8 @@
     pub client_repeat: bool,
     /// Marked as a write.
     pub write: bool,
+    /// Its body is still coming and is passed on as it comes; [`Event::Uploaded`] tells when it has come.
+    pub coming: bool,
 }
 
 /// How an attempt ended.
@@ -528,6 +530,8 @@
     pub billed: Option<f64>,
     /// The backend's load.
     pub load: LoadReport,
+    /// What was passed on of the request can't be sent again: no further attempt.
+    pub spent: bool,
 }
 
 /// Units of a customer in a window that are not on the counter yet.
@@ -555,6 +559,13 @@
     },
     /// A client's request arrived; it is owed exactly one final answer.
     Request(Arrival),
+    /// The body of a request that was `coming` has come: its time counts from here.
+    Uploaded {
+        /// Request.
+        id: RequestId,
+        /// When its client gives this try up.
+        deadline: Micros,
+    },
     /// A streamed answer has begun.
     Flowing {
         /// Request.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,7 +20,7 @@
 //! let arrived = Event::Request(Arrival {
 //!     id: RequestId(1), class: ClassIx(0), plan: PlanIx(0), customer: CustomerId(9),
 //!     deadline: 2_000_000, units: 1.0, spread: 2.0, first_gateway: 0.0,
-//!     client_repeat: false, write: false,
+//!     client_repeat: false, write: false, coming: false,
 //! });
 //! gateway.handle(1_000, arrived, &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { backend: b, .. } if *b == backend)));
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -120,6 +120,7 @@
                 self.call_off(id, Some(attempt));
             }
             Event::AttemptEnded(e) => self.on_attempt(e),
+            Event::Uploaded { id, deadline } => self.on_uploaded(id, deadline),
             Event::ClientGone { id } => self.close(id),
             Event::Barred { backend, out } => self.on_barred(backend, out),
             Event::Drain { on } => self.draining = on,
@@ -607,7 +608,8 @@
         // Units that are no number must not be granted without bound.
         let units = if a.units.is_finite() && a.units > 0.0 { a.units } else { self.cfg.units_top.max(1.0) };
         let spread = if a.spread >= 1.0 { a.spread.min(self.cfg.gateways as f64) } else { 1.0 };
-        let r = Request { class, customer: cid, deadline: a.deadline, units, ..Request::default() };
+        let (deadline, coming) = (a.deadline, a.coming);
+        let r = Request { class, customer: cid, deadline, units, coming, ..Request::default() };
         self.requests.insert(id, r);
         self.deadlines.insert((a.deadline, id));
         self.arm();
@@ -910,16 +912,20 @@
             c.out += 1;
             c.ceiling = ceiling.map(|left| (left, now)).or(c.ceiling);
         }
+        // No work waits with one whose body is still coming.
+        let coming = self.requests[&id].coming;
+        self.lost += u32::from(coming);
         if let Some(b) = self.backends.get_mut(&backend) {
             b.settle_out(now);
             b.out += 1;
+            b.lost += u32::from(coming);
             b.sent.push_back(now);
             b.sent.retain(|&t| now.saturating_sub(t) <= self.cfg.fall_after);
         }
         self.out += 1;
         self.sent_count += 1.0;
         let Some(r) = self.requests.get_mut(&id) else { return false };
-        r.attempts.push(Attempt { backend, sent: now, outcome: None, lost: false });
+        r.attempts.push(Attempt { backend, sent: now, outcome: None, lost: coming });
         self.acts.push(Action::Send { id, backend, timeout: None });
         if first {
             self.retry_tokens = (self.retry_tokens + RETRY_PART).min(1.0 / RETRY_PART);
@@ -964,6 +970,7 @@
             c.cur.unsent += e.billed.filter(|_| settles).map_or(0.0, |b| b - units);
         }
         r.over |= e.settled;
+        r.spent |= e.spent;
         let metered = e.fleet_use.filter(|used| used.is_finite() && self.cfg.meter_period > 0);
         metered.inspect(|&used| self.note_use(cid, used, None));
         // That one lost on the way was waited for in vain tells nothing of its backend, nor of a queue.
@@ -1082,6 +1089,20 @@
         }
     }
 
+    /// The backend has all of a request from now on, and its client waits.
+    fn on_uploaded(&mut self, id: RequestId, deadline: Micros) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        self.deadlines.remove(&(r.deadline, id));
+        (r.deadline, r.coming) = (deadline, false);
+        for a in r.attempts.iter_mut().filter(|a| a.lost && a.outcome.is_none()) {
+            (a.lost, a.sent, self.lost) = (false, self.now, self.lost.saturating_sub(1));
+            let b = self.backends.get_mut(&a.backend);
+            b.into_iter().for_each(|b| b.lost = b.lost.saturating_sub(1));
+        }
+        self.deadlines.insert((deadline, id));
+        self.arm();
+    }
+
     /// Deadlines of requests that are over cost nothing: one timer stands for all that are open.
     fn arm(&mut self) {
         let Some(&(first, _)) = self.deadlines.first() else { return };
@@ -1132,7 +1153,8 @@
     /// Rules 2 and 3: whether an attempt of this request may go to this backend now.
     fn may_send(&self, id: RequestId, b: &Backend) -> bool {
         let r = &self.requests[&id];
-        let spent = r.attempts.len() >= self.cfg.max_attempts as usize || self.now >= r.deadline;
+        let most = self.cfg.max_attempts as usize;
+        let spent = r.spent || r.attempts.len() >= most || self.now >= r.deadline;
         let out = r.attempts.iter().any(|a| a.outcome.is_none());
         if r.over || r.streaming || spent || (out && !self.cfg.second_copies) {
             return false;
--- a/src/state.rs
+++ b/src/state.rs
@@ -116,7 +116,8 @@
     pub(crate) sent: Micros,
     /// How it ended; `None` while out.
     pub(crate) outcome: Option<Outcome>,
-    /// Others that were sent there well after it have been answered.
+    /// Others that were sent there well after it have been answered, or its request is still coming: no work
+    /// waits with it.
     pub(crate) lost: bool,
 }
 
@@ -147,6 +148,9 @@
     pub(crate) attempts: Vec<Attempt>,
     pub(crate) over: bool,
     pub(crate) streaming: bool,
+    /// Its body is still coming; and it can't be sent again.
+    pub(crate) coming: bool,
+    pub(crate) spent: bool,
 }
 
 #[derive(Clone, Copy)]
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -89,6 +89,7 @@
             first_gateway: 0.0,
             client_repeat: false,
             write: false,
+            coming: false,
         }))
     }
 
@@ -103,6 +104,7 @@
             fleet_use: None,
             billed: None,
             load: LoadReport::default(),
+            spent: false,
         })
     }
 
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -177,6 +177,7 @@
         elapsed: MS,
         settled: true,
         fleet_use: None,
+        spent: false,
         billed: Some(7.0),
         load,
     });
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -221,3 +221,56 @@
     let at_once: Vec<_> = (0..50).flat_map(|n| rig.ask(n, 5)).collect();
     assert!(sent(&at_once).is_empty(), "a fresh gateway knows nothing of what was spent before");
 }
+
+/// Guards against a further attempt of what can't be sent again: it never ran, and is refused at once.
+#[test]
+fn rule_2_a_body_that_was_spent_goes_nowhere_else() {
+    for spent in [false, true] {
+        let mut rig = Rig::new(config(), 3);
+        let first = sent(&rig.ask(1, 7))[0].1;
+        let ended = Ended {
+            id: RequestId(1),
+            attempt: AttemptIx(0),
+            backend: first,
+            outcome: Outcome::Full,
+            elapsed: MS,
+            settled: false,
+            fleet_use: None,
+            billed: None,
+            load: LoadReport::default(),
+            spent,
+        };
+        let acts = rig.ended(ended);
+        assert_eq!((sent(&acts).len(), answers(&acts).len()), if spent { (0, 1) } else { (1, 0) });
+    }
+}
+
+/// Guards against a body that comes slowly being taken for work that waits, and against a time that counts
+/// from before it has come.
+#[test]
+fn the_time_of_a_body_still_coming_counts_from_its_end() {
+    let mut rig = Rig::new(config(), 3);
+    let arrival = Arrival {
+        id: RequestId(1),
+        class: ClassIx(0),
+        plan: PlanIx(0),
+        customer: CustomerId(7),
+        deadline: rig.now + 100 * SEC,
+        units: 1.0,
+        spread: 2.0,
+        first_gateway: 0.0,
+        client_repeat: false,
+        write: false,
+        coming: true,
+    };
+    assert_eq!(sent(&rig.feed(Event::Request(arrival))).len(), 1);
+    let idle = rig.gateway.vitals();
+    assert_eq!((idle.out, idle.lost), (1, 1), "no work waits with it");
+    assert!(answers(&rig.run(3 * SEC)).is_empty());
+    let deadline = rig.now + SEC;
+    rig.feed(Event::Uploaded { id: RequestId(1), deadline });
+    assert_eq!(rig.gateway.vitals().lost, 0);
+    assert!(answers(&rig.run(SEC - MS)).is_empty());
+    assert_eq!(answers(&rig.run(2 * MS)).len(), 1);
+    rig.feed(Event::Uploaded { id: RequestId(9), deadline });
+}
