--- a/src/logic.rs
+++ b/src/logic.rs
@@ -143,7 +143,8 @@
                             *health = Health::Aside { until: self.now + wait as Micros, wait, dead };
                         }
                     }
-                    _ => self.set_aside(backend, true),
+                    // One that answers lives, though it is not well: it does not come back cold.
+                    _ => self.set_aside(backend, !matches!(outcome, Outcome::Error | Outcome::Full)),
                 }
             }
             Event::Message { .. } => {}
@@ -694,7 +695,7 @@
 
     pub(crate) fn usable(&self, b: &Backend) -> bool {
         let wanted = b.listed && b.row.state == BackendState::Ready && b.health == Health::Well;
-        wanted && !self.barred.contains(&b.row.backend)
+        wanted && !self.barred.contains_key(&b.row.backend)
     }
 
     fn pick(&mut self, id: RequestId) -> Option<BackendId> {
@@ -821,10 +822,11 @@
     /// that late: what was known of the old process is dropped, and the new one is taken to be cold.
     fn on_barred(&mut self, backend: BackendId, out: bool) {
         if out {
-            self.barred.insert(backend);
-        } else if let (true, Some(b)) = (self.barred.remove(&backend), self.backends.get_mut(&backend)) {
+            self.barred.entry(backend).or_insert(self.now);
+        } else if let (Some(since), Some(b)) = (self.barred.remove(&backend), self.backends.get_mut(&backend))
+        {
             (b.health, b.slow, b.fails, b.errors, b.breaks) = (Health::Well, 1.0, 0, 0.0, 0.0);
-            b.guessed = Some(self.now);
+            b.guessed = if b.row.started >= since { b.guessed } else { Some(self.now) };
         }
     }
 
@@ -857,10 +859,11 @@
         self.sent_rate += (self.sent_count / span.max(1.0) * SECOND - self.sent_rate) * gain;
         (self.done_count, self.sent_count, self.done_at) = (0.0, 0.0, self.now);
         self.find_lost();
+        self.learn_usual();
         let now = self.now;
         let ready = |b: &Backend| b.listed && b.row.state == BackendState::Ready;
         let barred = &self.barred;
-        for (id, b) in self.backends.iter_mut().filter(|(id, b)| ready(b) && !barred.contains(id)) {
+        for (id, b) in self.backends.iter_mut().filter(|(id, b)| ready(b) && !barred.contains_key(id)) {
             match b.health {
                 Health::Aside { until, wait, dead } if now >= until => {
                     b.health = Health::Trial { wait, dead }
@@ -1193,7 +1196,7 @@
         }
         let span = self.cfg.fall_after as f64;
         // Danger: one from each of hundreds is too much. Below one a span, gateways take turns by lot.
-        let usual = self.sent_rate / usable * span / SECOND;
+        let usual = self.usual.max(self.sent_rate / usable * span / SECOND);
         let budget = COLD_PART * self.cfg.fall_multiple * warmth * usual;
         let began = b.started.max(b.guessed).unwrap_or(0);
         let budget = self.turns(budget, span, mix(began) ^ b.row.key());
@@ -1201,6 +1204,18 @@
         (recent.max(b.out as usize) as f64) < budget
     }
 
+    /// What warm backends get tells what a full one can do. Danger: the mean over all, cold ones too, falls
+    /// with what these are kept from: they stay idle while the warm ones are jammed and clients are refused.
+    fn learn_usual(&mut self) {
+        let usable: Vec<_> = self.backends.values().filter(|b| self.usable(b)).collect();
+        let warm: Vec<_> = usable.iter().filter(|b| self.warmth(b) >= 1.0).collect();
+        let lately =
+            |b: &Backend| b.sent.iter().filter(|&&t| self.since(t) <= self.cfg.fall_after as f64).count();
+        if warm.len() * 3 >= usable.len().max(1) {
+            self.usual = warm.iter().map(|b| lately(b)).sum::<usize>() as f64 / warm.len() as f64;
+        }
+    }
+
     /// Rule 5: an even split of the ceiling's store, empty at the start: a restart knows of no spending.
     fn ceiling_level(&self, id: CustomerId) -> Option<f64> {
         let c = &self.customers[&id];
--- a/src/state.rs
+++ b/src/state.rs
@@ -234,8 +234,10 @@
     pub(crate) call_lost: f64,
     pub(crate) counter_trial: Micros,
     pub(crate) backends: BTreeMap<BackendId, Backend>,
-    /// Backends out by hand, listed or not.
-    pub(crate) barred: BTreeSet<BackendId>,
+    /// Backends out by hand, listed or not, and since when.
+    pub(crate) barred: BTreeMap<BackendId, Micros>,
+    /// What a warm backend gets from here within a fall span, as far as last known.
+    pub(crate) usual: f64,
     pub(crate) draining: bool,
     /// Another process of this gateway serves, too: each spends half of its part.
     pub(crate) paired: bool,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -197,6 +197,62 @@
     assert!(to_cold <= 2, "early burst on a cold backend: {to_cold}");
 }
 
+/// Guards against cold backends kept idle beside jammed ones: what they may get goes by what a warm one gets.
+#[test]
+fn rule_4_many_cold_backends_get_as_much_as_their_warmth_of_a_warm_one() {
+    let mut rig = Rig::new(Config { cold_from: 0.5, warm_up: 100 * SEC, ..config() }, 2);
+    let started = rig.now;
+    let cold = |n| BackendRow { started, ..BackendRow::new(backend(n), BackendState::Ready) };
+    let (mut to, mut out) = ([0.0_f64; 10], std::collections::VecDeque::new());
+    for n in 0..1_200 {
+        if n == 400 {
+            let rows = (4..10).map(|n| BackendRow { started: rig.now, ..cold(n) }).collect();
+            rig.feed(Event::Backends { kind: ListKind::Delta, version: 2, rows });
+        }
+        for (id, on) in sent(&rig.ask(n, 1000 + u64::from(n))) {
+            to[usize::from(on.address[3])] += f64::from(u8::from(n >= 800));
+            out.push_back((id, on));
+        }
+        rig.run(5 * MS);
+        // Each takes 60 ms, so that twelve are out.
+        if out.len() > 12 {
+            let (id, on) = out.pop_front().expect("one that is out");
+            rig.end(id, 0, on, Outcome::Ok, 60);
+        }
+    }
+    let mean = |to: &[f64]| to.iter().sum::<f64>() / to.len() as f64;
+    let (warm, cold) = (mean(&to[..2]), mean(&to[4..]));
+    assert!(cold < 0.6 * warm && to.iter().sum::<f64>() > 350.0, "{cold} of {warm}: {to:?}");
+}
+
+/// Guards against a backend that answers probes with errors being taken for one that has ended: it comes back
+/// as warm as it was.
+#[test]
+fn a_backend_that_answers_with_errors_does_not_come_back_cold() {
+    let mut rig = Rig::new(config(), 2);
+    let mut n = 0;
+    while rig.gateway.vitals().aside == 0 {
+        n += 1;
+        for (id, on) in sent(&rig.ask(n, 1000 + u64::from(n))) {
+            let outcome = if on == backend(0) { Outcome::Error } else { Outcome::Ok };
+            rig.end(id, 0, on, outcome, 5);
+        }
+    }
+    let probed = |rig: &mut Rig| loop {
+        if rig.run(10 * MS).iter().any(|a| matches!(a, Action::Probe { .. })) {
+            break;
+        }
+    };
+    for outcome in [Outcome::Error, Outcome::Ok] {
+        probed(&mut rig);
+        let load = LoadReport::default();
+        rig.feed(Event::Probed { backend: backend(0), outcome, elapsed: MS, load });
+    }
+    let all: Vec<_> = (1..41).flat_map(|i| sent(&rig.ask(n + i, 2000 + u64::from(i)))).collect();
+    let back = all.iter().filter(|s| s.1 == backend(0)).count();
+    assert!(3 * back > all.len(), "{back} of {}", all.len());
+}
+
 fn ceiling(rate: f64, burst: f64) -> Config {
     let ceiling = Some(Ceiling { rate, burst, slack: 1.0 });
     Config { plans: vec![Plan { ceiling, ..Plan::rated("capped", 100.0, 200.0) }], ..config() }
