--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1212,7 +1212,9 @@
         let lately =
             |b: &Backend| b.sent.iter().filter(|&&t| self.since(t) <= self.cfg.fall_after as f64).count();
         if warm.len() * 3 >= usable.len().max(1) {
-            self.usual = warm.iter().map(|b| lately(b)).sum::<usize>() as f64 / warm.len() as f64;
+            // It does less while it is asked for less, which is no news of what it can do.
+            let now = warm.iter().map(|b| lately(b)).sum::<usize>() as f64 / warm.len() as f64;
+            self.usual = now.max(self.usual * (1.0 - BEAT as f64 / FORGET));
         }
     }
 
