--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -56,6 +56,8 @@
     New,
     /// A later request has begun to come.
     Coming,
+    /// A request was let in whose body is still coming.
+    Body,
     /// A request is in work.
     Work,
     /// An answer is on its way.
@@ -124,6 +126,7 @@
             Phase::New if self.untouched() => Some(0),
             Phase::Idle if self.untouched() && age >= SETTLE => Some(1),
             Phase::New | Phase::Coming if age >= SLOW => Some(2),
+            Phase::Body if age >= SLOW => Some(3),
             _ => None,
         }
     }
@@ -309,7 +312,7 @@
             guests.values().filter_map(|g| Some((g.rank(now)?, g.since.get(), g))).collect();
         line.sort_by_key(|(rank, since, _)| (*rank, *since));
         let leaves =
-            line.into_iter().map(|(rank, _, g)| (rank, g)).find(|(rank, g)| *rank == 2 || g.nothing_begun());
+            line.into_iter().map(|(rank, _, g)| (rank, g)).find(|(rank, g)| *rank >= 2 || g.nothing_begun());
         match leaves {
             Some((1, guest)) => guest.dismiss(),
             Some((_, guest)) => guest.cut(),
@@ -332,7 +335,7 @@
             for guest in self.guests.borrow().values() {
                 let age = guest.since.get().elapsed();
                 match guest.phase.get() {
-                    Phase::New | Phase::Coming if guest.overdue() => guest.cut(),
+                    Phase::New | Phase::Coming | Phase::Body if guest.overdue() => guest.cut(),
                     Phase::Reply if guest.stuck() => guest.cut(),
                     Phase::Idle if !guest.untouched() => guest.enter(Phase::Coming),
                     // An answer that is not read either.
@@ -433,6 +436,8 @@
         if chunked && guest.meter.names("content-length") != Some(false) {
             return last(StatusCode::BAD_REQUEST, "two lengths\n");
         }
+        // What has been read counts from the head on, and so does its time.
+        guest.phase.set(Phase::Body);
         let small = length.filter(|n| *n <= SMALL as u64).and_then(|n| usize::try_from(n).ok());
         let held = self.bodies.take(small.unwrap_or(SMALL));
         if held.is_none() && small.is_some() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -111,6 +111,9 @@
     pub(crate) sent: VecDeque<Micros>,
 }
 
+/// Errors after which one more sets a backend aside; below the part for that, `SICK_ERRORS`.
+pub(crate) const ONE_MORE: f64 = 0.36;
+
 pub(crate) struct Attempt {
     pub(crate) backend: BackendId,
     pub(crate) sent: Micros,
@@ -309,7 +312,8 @@
     /// Takes a backend on trial back into use, cold if its process had ended.
     pub(crate) fn readmit(&mut self, now: Micros) {
         if let Health::Trial { dead, .. } = self.health {
-            (self.health, self.errors, self.slow) = (Health::Well, 0.0, 1.0);
+            // One that was set aside for its errors is again at the next one.
+            (self.health, self.errors, self.slow) = (Health::Well, self.errors.min(ONE_MORE), 1.0);
             self.guessed = if dead { Some(now) } else { self.guessed };
         }
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -330,3 +330,27 @@
     assert_eq!(answers(&rig.run(2 * MS)).len(), 1);
     rig.feed(Event::Uploaded { id: RequestId(9), deadline });
 }
+
+/// Guards against a run of failures each time a backend that answers with errors is tried again.
+#[test]
+fn a_backend_back_from_errors_is_set_aside_at_the_next_one() {
+    let mut rig = Rig::new(config(), 2);
+    let mut n = 0;
+    let mut errors = |rig: &mut Rig| {
+        let mut seen = 0;
+        while rig.gateway.vitals().aside == 0 {
+            n += 1;
+            for (id, on) in sent(&rig.ask(n, 1000 + u64::from(n))) {
+                let bad = on == backend(0);
+                seen += u32::from(bad);
+                rig.end(id, 0, on, if bad { Outcome::Error } else { Outcome::Ok }, 5);
+            }
+        }
+        seen
+    };
+    assert!(errors(&mut rig) > 3);
+    while !rig.run(10 * MS).iter().any(|a| matches!(a, Action::Probe { .. })) {}
+    let (outcome, load) = (Outcome::Ok, LoadReport::default());
+    rig.feed(Event::Probed { backend: backend(0), outcome, elapsed: MS, load });
+    assert_eq!(errors(&mut rig), 1);
+}
