--- a/src/logic.rs
+++ b/src/logic.rs
@@ -15,6 +15,7 @@
 const PACE_CUT: f64 = 0.25; // The pace of calls falls by this part where a window of one is crowded,
 const PACE_RISE: f64 = 0.1; // rises by this part a second, and faster the longer none was crowded;
 const PACE_LEAST: f64 = 0.1; // news of the counter must still come in: the least.
+const LATE: f64 = 0.75; // A total that takes this part of its time-out tells of a crowd at the counter.
 const COUNTER_SICK: u32 = 3; // Time-outs' spans in a row without an answer: it may be gone.
 const COUNTER_ILL: f64 = 0.3; // Part of its calls unanswered in time from which it is not relied on.
 const SPARSE: f64 = 2.0; // Drawn counts that a window must hold for its total to tell anything.
@@ -407,7 +408,7 @@
         // Danger: an answer that came in time and can't be read tells nothing of how much is asked.
         // One call alone that is overdue while later ones are answered hangs on its own connection.
         let alone = result == Reckoned::Overdue && self.since(self.heard_at) < timeout / 2.0;
-        let crowded = result == Reckoned::NotAdded || elapsed > timeout / 2.0 && !alone;
+        let crowded = result == Reckoned::NotAdded || elapsed > timeout * LATE && !alone;
         if answered && !crowded {
             self.heard_at = self.now;
         }
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -354,3 +354,23 @@
     };
     assert!(2 * served(true) <= served(false));
 }
+
+/// Guards against a counter that is only middling slow being asked less and less, while customers with room are
+/// refused for want of totals.
+#[test]
+fn totals_well_within_their_time_out_are_no_crowd() {
+    let most = |ms: u64| {
+        let mut rig = Rig::new(config(), 2);
+        for n in 0..40 {
+            let customer = u64::from(n % 4);
+            let mut acts = rig.ask(n, customer);
+            acts.extend(rig.run(100 * MS));
+            for (name, amount) in calls(&acts) {
+                rig.feed(Event::Counted { name, result: Reckoned::Total(amount), elapsed: ms * MS });
+            }
+        }
+        rig.gateway.vitals().calls_most
+    };
+    assert_eq!(most(32), 16.0);
+    assert!(most(45) < 16.0);
+}
