--- a/node/src/backend.rs
+++ b/node/src/backend.rs
@@ -18,7 +18,7 @@
 use tokio::time::{timeout, Instant};
 
 /// An answer in chunks, whose length is not told, is held for so long; what is not whole then is passed on.
-const GATHER: Duration = Duration::from_millis(100);
+const GATHER: Duration = Duration::from_millis(25);
 /// A probe unanswered by then has failed.
 const PROBE: Duration = Duration::from_millis(250);
 /// Idle connections that break at their next request are kept for a shorter time from then on, down to
