--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -5,8 +5,10 @@
 use caperwind::{BackendState, ListKind};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1;
+use hyper::StatusCode;
 use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -18,9 +20,17 @@
 const WAIT: Duration = Duration::from_secs(4);
 /// An answer is overdue this long after it should have come.
 const OVERDUE: Duration = Duration::from_millis(1_500);
+/// A whole list may wait in discovery's line first.
+const WHOLE: Duration = Duration::from_millis(2_500);
 const CONNECT: Duration = Duration::from_millis(500);
 /// Waits between tries while the agent does not answer: the first, and the longest.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(400));
+/// The same while discovery turns calls away, for each gateway that asks. Danger: its line has a bound, and
+/// what waits there too long is worked on in vain. A fleet that soon asks again keeps that line so long that
+/// nobody is answered in time, for as long as this goes on.
+const TURNED_AWAY: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(80));
+/// With a list in hand, the first calls of a fleet that has started together are spread over so long for each.
+const SPREAD: Duration = Duration::from_millis(20);
 const MOST_BYTES: usize = 4 << 20;
 
 /// A list of backends in discovery's form.
@@ -86,66 +96,125 @@
         Ok(Agent { address, sender })
     }
 
-    async fn ask(&mut self, path: &str, limit: Duration) -> Result<List, String> {
+    async fn ask(&mut self, path: &str, limit: Duration) -> Result<List, Failure> {
         let request = hyper::Request::get(path).header("host", self.address.to_string());
         let request = request.body(Empty::new()).map_err(|e| e.to_string())?;
         let call = async {
             self.sender.ready().await.map_err(|e| e.to_string())?;
             let answer = self.sender.send_request(request).await.map_err(|e| e.to_string())?;
-            if answer.status() != 200 {
-                return Err(format!("status {}", answer.status()));
+            match answer.status() {
+                StatusCode::OK => {}
+                StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+                    return Err(Failure::TurnedAway(answer.status()))
+                }
+                other => return Err(Failure::Other(format!("status {other}"))),
             }
             let body = Limited::new(answer.into_body(), MOST_BYTES).collect().await;
             Ok(body.map_err(|e| e.to_string())?.to_bytes())
         };
-        let body = timeout(limit, call).await.map_err(|_| "no answer in time")??;
-        serde_json::from_slice(&body).map_err(|e| format!("unreadable list: {e}"))
+        let body = timeout(limit, call).await.map_err(|_| "no answer in time".to_owned())??;
+        serde_json::from_slice(&body).map_err(|e| Failure::Unreadable(format!("unreadable list: {e}")))
     }
 }
 
-/// Follows the list for as long as the program runs, at the address that holds at the time.
-pub async fn follow(mut address: watch::Receiver<SocketAddr>, driver: Shared) {
-    let mut wait = BACKOFF.0;
+/// Why a call told nothing.
+enum Failure {
+    /// Discovery has more calls than it bears.
+    TurnedAway(StatusCode),
+    /// What came is no list: what is held may not be what the agent holds it to be.
+    Unreadable(String),
+    Other(String),
+}
+
+impl From<String> for Failure {
+    fn from(why: String) -> Self {
+        Failure::Other(why)
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Failure::TurnedAway(status) => write!(f, "turned away: {status}"),
+            Failure::Unreadable(why) | Failure::Other(why) => f.write_str(why),
+        }
+    }
+}
+
+/// What is held of discovery's list, and the wait before the next try.
+struct Follower {
+    driver: Shared,
+    /// The version that is held; `None`: the whole list is due.
+    held: Option<u64>,
+    failures: u32,
+    gateways: u32,
+    random: fastrand::Rng,
+}
+
+/// Follows the list for as long as the program runs, at the address that holds at the time. `held` is the
+/// version of the list that the program began with.
+pub async fn follow(mut address: watch::Receiver<SocketAddr>, driver: Shared, held: Option<u64>, seed: u64) {
+    let (gateways, random) = (driver.module().gateways, fastrand::Rng::with_seed(seed));
+    let mut follower = Follower { driver, held, failures: 0, gateways, random };
+    if held.is_some() {
+        tokio::time::sleep((SPREAD * gateways).mul_f64(follower.random.f64())).await;
+    }
     loop {
         let at = *address.borrow_and_update();
         let try_one = async {
-            let Err(why) = session(at, &driver, &mut wait).await;
+            let Err(why) = follower.session(at).await;
             // Danger: silence or rubbish is no empty list; what is held stays in force.
-            driver.backends_failed(&why);
-            tokio::time::sleep(wait).await;
-            wait = (wait * 2).min(BACKOFF.1);
+            follower.driver.backends_failed(&why.to_string());
+            if let Failure::Unreadable(_) = why {
+                follower.held = None;
+            }
+            tokio::time::sleep(follower.wait(&why)).await;
         };
         tokio::select! {
             () = try_one => {}
             // Danger: what the new agent has counts as told soon, so neither an open watch at the old one nor
-            // a wait is sat out.
-            Ok(()) = address.changed() => wait = BACKOFF.0,
+            // a wait is sat out. It may number its versions in its own way.
+            Ok(()) = address.changed() => (follower.held, follower.failures) = (None, 0),
         }
     }
 }
 
-/// One connection's worth: the whole list (changes may have been missed), then watches.
-async fn session(
-    address: SocketAddr,
-    driver: &Shared,
-    wait: &mut Duration,
-) -> Result<std::convert::Infallible, String> {
-    let mut agent = Agent::connect(address).await?;
-    let mut list = agent.ask("/v1/servers", OVERDUE).await?;
-    list.snapshot = true;
-    loop {
-        let index = list.index;
-        let refetch = driver.backends_told(list);
-        *wait = BACKOFF.0;
-        // The next call goes out at once: within 200 ms it continues the watch.
-        list = if refetch {
-            let mut whole = agent.ask("/v1/servers", OVERDUE).await?;
-            whole.snapshot = true;
-            whole
-        } else {
-            let path = format!("/v1/servers?index={index}&wait={}", WAIT.as_millis());
-            agent.ask(&path, WAIT + OVERDUE).await?
+impl Follower {
+    /// Doubles with each failure. Danger: gateways that are turned away together come back together, so
+    /// each waits for a time of its own.
+    fn wait(&mut self, why: &Failure) -> Duration {
+        let (first, longest) = match why {
+            Failure::TurnedAway(_) => (TURNED_AWAY.0 * self.gateways, TURNED_AWAY.1 * self.gateways),
+            _ => BACKOFF,
         };
+        let wait = longest.min(first.saturating_mul(1 << self.failures.min(10)));
+        self.failures += 1;
+        wait.mul_f64(0.5 + self.random.f64())
+    }
+
+    /// One connection's worth: the whole list where none is held, then watches from the version that is.
+    /// Danger: a whole list costs discovery work for each of its lines, a hundred of them more than it can do.
+    async fn session(&mut self, address: SocketAddr) -> Result<std::convert::Infallible, Failure> {
+        let mut agent = Agent::connect(address).await?;
+        loop {
+            let list = match self.held {
+                // The next call goes out at once: within 200 ms it continues the watch.
+                Some(index) => {
+                    let path = format!("/v1/servers?index={index}&wait={}", WAIT.as_millis());
+                    agent.ask(&path, WAIT + OVERDUE).await?
+                }
+                None => {
+                    let list = agent.ask("/v1/servers", WHOLE).await?;
+                    List { snapshot: true, ..list }
+                }
+            };
+            // One that has gone back counts from anew: changes to what it held before mean nothing.
+            let back = !list.snapshot && self.held.is_some_and(|held| list.index < held);
+            (self.held, self.failures) = (Some(list.index).filter(|_| !back), 0);
+            if !back && self.driver.backends_told(list) {
+                self.held = None;
+            }
+        }
     }
 }
 
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -74,6 +74,7 @@
     let driver = driver::Shared::new(setup.module, setup.seed, pool.clone(), counter.clone())?;
     // The module begins with the list it last had, an empty one if none.
     let none = discovery::List { index: 0, snapshot: true, endpoints: Vec::new() };
+    let known = setup.known.as_ref().filter(|list| !list.endpoints.is_empty()).map(|list| list.index);
     driver.backends_known(setup.known.unwrap_or(none));
     let timers = driver.clone();
     tokio::task::spawn_local(async move { timers.keep_time().await });
@@ -88,7 +89,9 @@
         tokio::task::spawn_local(ops.accept(door));
     }
     let (discovery, followed) = watch::channel(setup.discovery);
-    tokio::task::spawn_local(discovery::follow(followed, driver.clone()));
+    // What another process has handed over is checked against the whole list.
+    let held = known.filter(|_| !others.paired());
+    tokio::task::spawn_local(discovery::follow(followed, driver.clone(), held, setup.seed));
     tokio::task::spawn_local(server.clone().watch());
     tokio::task::spawn_local(share(alone, paired, others.clone(), server.clone(), pool, counter.clone()));
     let (first, accepts, serving) = (driver.clone(), server.clone(), others.clone());
--- a/node/tests/gateway.rs
+++ b/node/tests/gateway.rs
@@ -313,6 +313,27 @@
     assert_eq!(gateway.client().ask(&request("consulta", 7, 2000)).status(), 200);
 }
 
+/// Guards against a fleet that keeps discovery busy with whole lists: one that was turned away asks for what has
+/// changed since the list in hand, also the one it was started with.
+#[test]
+fn a_gateway_that_discovery_turns_away_goes_on_from_the_list_in_hand() {
+    let backend = Fake::start(|_| ok("x"));
+    let news = list(8, false, &serving(&[&backend]));
+    let calls = AtomicUsize::new(0);
+    let discovery = Fake::start(move |_| match calls.fetch_add(1, Ordering::SeqCst) {
+        0 | 1 | 3 => Reaction::Answer(answer("503 Service Unavailable", "", "")),
+        2 => ok(&news),
+        _ => Reaction::Silence,
+    });
+    let gone = entry("s-gone", closed_port(), "SERVING");
+    let start = Start { known: Some(list(7, true, &[gone])), ..Start::default() };
+    let gateway = Gateway::start(&start, discovery.address, closed_port());
+    let asked: Vec<_> = (0..5).map(|_| discovery.next().path().to_owned()).collect();
+    let from = |index: u64| format!("/v1/servers?index={index}&wait=4000");
+    assert_eq!(asked, [from(7), from(7), from(7), from(8), from(8)]);
+    assert_eq!(gateway.client().ask(&request("consulta", 7, 2000)).status(), 200);
+}
+
 /// Guards against readiness before there is a list, and against one that waits for the counter.
 #[test]
 fn a_gateway_is_ready_once_it_has_a_list() {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -887,11 +887,14 @@
                 false => b.readmit(now),
             }
         }
+        let wait = |most: Micros| most as f64 / 3.0 * (0.5 + self.lot(now / SECOND as u64));
         match self.cfg.discovery {
-            Discovery::OnRequest { ask_every } if self.since(self.asked_at) > ask_every as f64 / 3.0 => {
-                self.asked_at = now;
-                let again = Action::Subscribe { on: true };
-                self.acts.push(if self.ask_failed { again } else { Action::FetchList });
+            // Danger: a fleet that asks for whole lists beside what it is told keeps discovery from telling.
+            Discovery::OnRequest { ask_every }
+                if self.ask_failed && self.since(self.asked_at) > wait(ask_every) =>
+            {
+                (self.asked_at, self.ask_failed) = (now, false);
+                self.acts.push(Action::Subscribe { on: true });
             }
             _ => {}
         }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -169,7 +169,10 @@
     let mut rig = Rig::new(Config { discovery: Discovery::OnRequest { ask_every }, ..config() }, 2);
     let asks = |a: &Action| matches!(a, Action::Subscribe { on: true } | Action::FetchList);
     assert!(rig.out.iter().any(asks), "subscribes at its start");
+    // Danger: a hundred gateways that ask for whole lists beside what they are told keep discovery from telling.
+    assert!(!rig.run(5 * ask_every).iter().any(asks), "what it has subscribed to is told unasked");
     for _ in 0..5 {
+        rig.feed(Event::Backends { kind: ListKind::Failed, version: 0, rows: Vec::new() });
         assert!(rig.run(ask_every / 2).iter().any(asks), "asks again before it counts as told");
     }
 }
