--- a/src/logic.rs
+++ b/src/logic.rs
@@ -132,6 +132,7 @@
                 Some(Task::Beat) => self.beat(),
                 Some(Task::Deadlines) => self.on_deadlines(token),
                 Some(Task::Hedge(id)) => self.on_hedge(id),
+                Some(Task::Overdue(id)) => self.settle_overdue(id, false),
                 _ => {}
             },
             Event::Probed { backend, outcome, load, .. } => {
@@ -429,7 +430,9 @@
             let step = if self.calls_most < self.calls_safe { 1.0 } else { 1.0 / self.calls_most };
             self.calls_most = (self.calls_most + step).min(CALLS_MAX);
         }
-        self.call_lost += (f64::from(u8::from(!answered)) - self.call_lost) * GAIN;
+        if result != Reckoned::Overdue {
+            self.call_lost += (f64::from(u8::from(!answered)) - self.call_lost) * GAIN;
+        }
         // Danger: a burst whose calls all fail together is one failure, not a dead counter.
         if answered {
             self.call_fails = 0;
@@ -442,11 +445,7 @@
         let Some(&(id, window)) = self.names.get(&name) else { return };
         self.roll(id);
         let Some(c) = self.customers.get_mut(&id) else { return };
-        let current = window == c.window;
-        if !current && window + 1 != c.window {
-            return;
-        }
-        let t = if current { &mut c.cur } else { &mut c.prev };
+        let Some(t) = c.tally(window) else { return };
         let amount = std::mem::take(&mut t.in_call);
         t.calling = false;
         match result {
@@ -454,16 +453,12 @@
                 t.added += amount;
                 // Danger: a name forgotten by the counter, or an add that never reached it, would grant
                 // afresh what was used. A total short of what was added here puts that back, once.
-                let short = t.added - total;
+                let (short, mut told) = (t.added - total, total);
                 if short > 0.5 && !t.restored {
                     (t.restored, t.unsent, t.added) = (true, t.unsent + short, t.added - short);
-                } else {
-                    t.total = total;
+                    told = t.total;
                 }
-                t.told_at = Some(self.now);
-                let others = (t.total - t.added).max(0.0);
-                c.store = (c.store - (others - t.others)).max(0.0);
-                t.others = others;
+                c.take_total(window, told, self.now);
             }
             // It may have been added: counted as if it was, until a total tells otherwise.
             Reckoned::Unanswered | Reckoned::Overdue => {
@@ -471,7 +466,11 @@
             }
             _ => t.unsent += amount,
         }
-        if !c.cur.calling && !c.prev.calling {
+        let calling = c.cur.calling || c.prev.calling;
+        if result == Reckoned::Overdue {
+            // Danger: a crowded counter's late total still settles it; decided without, its call was in vain.
+            self.set_timer(timeout as Micros, Task::Overdue(id));
+        } else if !calling {
             self.settle_held(id, answered);
         }
         let c = &self.customers[&id];
@@ -486,31 +485,32 @@
     /// added after all.
     fn on_counted_late(&mut self, name: CountName, amount: f64, result: Reckoned) {
         self.calls_out = (self.calls_out - 1.0).max(0.0);
+        let total = if let Reckoned::Total(v) = result { Some(v).filter(|v| v.is_finite()) } else { None };
+        self.call_lost += (f64::from(u8::from(total.is_none())) - self.call_lost) * GAIN;
         let Some(&(id, window)) = self.names.get(&name) else { return };
         self.roll(id);
         let now = self.now;
         let Some(c) = self.customers.get_mut(&id) else { return };
-        let t = match c.window.checked_sub(window) {
-            Some(0) => &mut c.cur,
-            Some(1) => &mut c.prev,
-            _ => return,
-        };
-        match result {
-            Reckoned::Total(total) if total.is_finite() => {
-                // It lives, and is slow: that is for the window of calls to meet.
-                self.call_fails = 0;
-                // A later call's units may still be on their way: what is believed to be there counts.
-                (t.total, t.told_at) = (total.max(t.added), Some(now));
-                let others = (t.total - t.added).max(0.0);
-                c.store = (c.store - (others - t.others)).max(0.0);
-                t.others = others;
-            }
-            Reckoned::NotAdded => {
-                let back = amount.min(t.added);
-                (t.added, t.total, t.unsent) = (t.added - back, t.total - back, t.unsent + back);
-                self.schedule(id, SYNC * 0.5);
-            }
-            _ => {}
+        let Some(t) = c.tally(window) else { return };
+        if let Some(total) = total {
+            // It lives, and is slow: that is for the window of calls to meet.
+            self.call_fails = 0;
+            // A later call's units may still be on their way: what is believed to be there counts.
+            let total = total.max(t.added);
+            c.take_total(window, total, now);
+        } else if result == Reckoned::NotAdded {
+            let back = amount.min(t.added);
+            (t.added, t.total, t.unsent) = (t.added - back, t.total - back, t.unsent + back);
+            self.schedule(id, SYNC * 0.5);
+        }
+        self.settle_overdue(id, total.is_some());
+    }
+
+    /// Answers what an overdue call left waiting, once its total has come or has been waited for in vain.
+    fn settle_overdue(&mut self, id: CustomerId, told: bool) {
+        let Some(c) = self.customers.get(&id) else { return };
+        if !c.cur.calling && !c.prev.calling && c.held.iter().any(|h| h.covered) {
+            self.settle_held(id, told);
         }
     }
 
@@ -543,11 +543,8 @@
         }
         self.roll(spent.customer);
         let Some(c) = self.customers.get_mut(&spent.customer) else { return };
-        match c.window.checked_sub(spent.window) {
-            Some(0) => c.cur.unsent += spent.units,
-            Some(1) => c.prev.unsent += spent.units,
-            _ => return,
-        }
+        let Some(t) = c.tally(spent.window) else { return };
+        t.unsent += spent.units;
         self.schedule(spent.customer, 0.3 * SYNC);
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -163,6 +163,8 @@
     Beat,
     Deadlines,
     Hedge(RequestId),
+    /// A call for this customer was overdue one time-out ago.
+    Overdue(CustomerId),
 }
 
 /// Refusals by their reason, since the start.
@@ -304,6 +306,24 @@
         self.slice = (self.slice - units).max(-units);
     }
 
+    /// The count of the present window or the last.
+    pub(crate) fn tally(&mut self, window: u64) -> Option<&mut Tally> {
+        match self.window.checked_sub(window)? {
+            0 => Some(&mut self.cur),
+            1 => Some(&mut self.prev),
+            _ => None,
+        }
+    }
+
+    /// Takes in a total, and in the store what others were found to use.
+    pub(crate) fn take_total(&mut self, window: u64, total: f64, now: Micros) {
+        let Some(t) = self.tally(window) else { return };
+        let others = (total - t.added).max(0.0);
+        let before = std::mem::replace(&mut t.others, others);
+        (t.total, t.told_at) = (total, Some(now));
+        self.store = (self.store - (others - before)).max(0.0);
+    }
+
     /// When a total of either window last came.
     pub(crate) fn told_at(&self) -> Option<Micros> {
         self.cur.told_at.or(self.prev.told_at)
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -374,3 +374,38 @@
     assert_eq!(most(32), 16.0);
     assert!(most(45) < 16.0);
 }
+
+/// Guards against calls made in vain: at a crowded counter one in four came late, and what it was made for had
+/// been decided without it.
+#[test]
+fn a_held_request_is_settled_by_the_late_total_of_its_call() {
+    let settled = |late: Option<f64>| {
+        let mut rig = Rig::new(config(), 3);
+        let mut held = Vec::new();
+        for id in 0..4 {
+            let acts = rig.ask_units(id, 1, 3.0);
+            held = calls(&acts);
+            if !held.is_empty() && sent(&acts).is_empty() {
+                break;
+            }
+        }
+        // The last window holds nothing; the call that carries units is the late one.
+        let (with, without): (Vec<_>, Vec<_>) = held.into_iter().partition(|c| c.1 != 0.0);
+        let (name, amount) = *with.first().expect("a call");
+        without.iter().for_each(|c| drop(rig.counted(c.0, Reckoned::Total(0.0))));
+        let overdue = Event::Counted { name, result: Reckoned::Overdue, elapsed: 50 * MS };
+        let mut acts = rig.feed(overdue);
+        assert!(sent(&acts).is_empty() && answers(&acts).is_empty(), "it waits for what may still come");
+        if let Some(total) = late {
+            rig.now += 20 * MS;
+            acts = rig.feed(Event::CountedLate { name, amount, result: Reckoned::Total(total) });
+        } else {
+            acts.extend(rig.run(60 * MS));
+        }
+        (sent(&acts).len(), answers(&acts).len())
+    };
+    assert_eq!(settled(Some(6.0)), (1, 0), "room by the late total");
+    assert_eq!(settled(Some(50.0)), (0, 1), "over by the late total");
+    let (sent, refused) = settled(None);
+    assert_eq!(sent + refused, 1, "decided without after one more time-out");
+}
