--- a/src/logic.rs
+++ b/src/logic.rs
@@ -278,7 +278,7 @@
     fn call_chance(&mut self, id: CustomerId, units: f64) -> f64 {
         let c = &self.customers[&id];
         let (odds, plan) = (self.odds(c), &self.cfg.plans[c.plan]);
-        let gain = (odds * plan.over_cost).min(1.0 - odds).max(GAIN / 2.0) * plan.price * units;
+        let gain = (odds * plan.over_cost).min(1.0 - odds).max(GAIN / 10.0) * plan.price * units;
         blend(&mut self.gain_mean, gain, GAIN / 5.0);
         let chance = self.pace.powf(self.gain_mean / gain);
         // Danger: a count that stands for many fills a small quota by itself and shuts its customer out.
@@ -378,7 +378,8 @@
         let before = window.wrapping_sub(1);
         let names = [(self.name(id, before), before), (self.name(id, window), window)];
         let (keep, ample) = ((3.0 * self.window(plan)).min(KEEP_MAX) as Micros, AMPLE * self.limit(plan));
-        let spare = self.pace >= 1.0;
+        // Danger: where no part holds a request all need calls, also while the counter seems to have room.
+        let spare = self.pace >= 1.0 && self.limit(plan) * self.customers[&id].part() >= 1.0;
         let Some(c) = self.customers.get_mut(&id) else { return };
         let (tight, busy) = (c.prev.all() > ample && spare, c.cur.all() > ample && spare);
         // Danger: the others may have used up the last window while nothing came through here. Who
@@ -1225,8 +1226,7 @@
         (recent.max(b.out as usize) as f64) < budget
     }
 
-    /// What this gateway may send to a cold backend within a fall span, one of its lot; the others are left
-    /// to the gateways that have them in theirs.
+    /// What this gateway may send within a fall span to a cold backend of its lot; others are not its own.
     fn cold_budget(&self, b: &Backend, usable: f64) -> f64 {
         let (span, keep) = (self.cfg.fall_after as f64, (SUBSET / usable).min(1.0));
         let usual = self.usual.max(self.sent_rate / usable * span / SECOND);
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -360,3 +360,49 @@
         "{errors} requests lost, {met} pairs of a gateway and a bad backend"
     );
 }
+
+#[test]
+fn calls_go_where_they_decide_something() {
+    // Danger: with parts below a request all gateways need calls. Reading the last window beside the present
+    // one, and asking for plans whose excess costs nothing, took them from requests decided by the odds.
+    let free = Plan { over_cost: 0.0, ..Plan::rated("free", 5.0, 10.0) };
+    let dear = Plan::rated("dear", 5.0, 10.0);
+    let made = |gateways: u32| {
+        let config = Config { plans: vec![free.clone(), dear.clone()], ..many(gateways, 7, dear.clone()) };
+        let mut rig = Rig::new(config, 60);
+        let (mut made, mut most) = ([0, 0], 0);
+        for id in 0..400 {
+            let plan = id % 2;
+            let mut acts = rig.feed(Event::Request(Arrival {
+                id: RequestId(id),
+                class: ClassIx(0),
+                plan: PlanIx(plan as u16),
+                customer: CustomerId(u64::from(id)),
+                deadline: rig.now + 2 * SEC,
+                units: 1.0,
+                spread: f64::from(gateways),
+                first_gateway: 0.0,
+                client_repeat: false,
+                write: false,
+                coming: false,
+            }));
+            let out = calls(&acts);
+            made[plan as usize] += usize::from(!out.is_empty());
+            most = most.max(out.len());
+            let mut waiting = out;
+            while let Some((name, amount)) = waiting.pop() {
+                let more = rig.counted(name, Reckoned::Total(amount + 5.0));
+                waiting.extend(calls(&more));
+                acts.extend(more);
+            }
+            for (id, on) in sent(&acts) {
+                rig.end(id, 0, on, Outcome::Ok, 50);
+            }
+        }
+        (made, most)
+    };
+    let ([free, dear], _) = made(20);
+    assert!(dear > 50 && free < 20, "calls for {free} of 200 with nothing to lose, for {dear} of 200 others");
+    let (_, most) = made(16);
+    assert_eq!(most, 1, "the counter seems to have room, and one call settles a request");
+}
