--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -2,7 +2,7 @@
 
 use crate::driver::Shared;
 use bytes::Bytes;
-use caperwind::{BackendState, ListKind};
+use caperwind::{BackendState, Discovery, ListKind};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1;
 use hyper::StatusCode;
@@ -29,8 +29,9 @@
 /// what waits there too long is worked on in vain. A fleet that soon asks again keeps that line so long that
 /// nobody is answered in time, for as long as this goes on.
 const TURNED_AWAY: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(80));
-/// With a list in hand, the first calls of a fleet that has started together are spread over so long for each.
-const SPREAD: Duration = Duration::from_millis(20);
+/// Where discovery has to be asked, the first calls of a fleet that has started together with a list in hand
+/// are spread over so long for each, and so long in all: 6 s on, what it has to tell counts as told.
+const SPREAD: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(4));
 const MOST_BYTES: usize = 4 << 20;
 
 /// A list of backends in discovery's form.
@@ -154,11 +155,11 @@
 /// Follows the list for as long as the program runs, at the address that holds at the time. `held` is the
 /// version of the list that the program began with.
 pub async fn follow(mut address: watch::Receiver<SocketAddr>, driver: Shared, held: Option<u64>, seed: u64) {
-    let (gateways, random) = (driver.module().gateways, fastrand::Rng::with_seed(seed));
-    let mut follower = Follower { driver, held, failures: 0, gateways, random };
+    let (gateways, mut random) = (driver.module().gateways, fastrand::Rng::with_seed(seed));
     if held.is_some() {
-        tokio::time::sleep((SPREAD * gateways).mul_f64(follower.random.f64())).await;
+        tokio::time::sleep(first_wait(driver.module().discovery, gateways, random.f64())).await;
     }
+    let mut follower = Follower { driver, held, failures: 0, gateways, random };
     loop {
         let at = *address.borrow_and_update();
         let try_one = async {
@@ -179,6 +180,16 @@
     }
 }
 
+/// How long a gateway that starts with a list in hand waits before it asks for news, at `lot` of the spread.
+/// Danger: what the agent holds counts as told at once. Where changes are pushed to it, asking it costs
+/// nothing, and a gateway that waits sends to backends that have long been draining.
+fn first_wait(mode: Discovery, gateways: u32, lot: f64) -> Duration {
+    match mode {
+        Discovery::Pushed => Duration::ZERO,
+        Discovery::OnRequest { .. } => SPREAD.0.saturating_mul(gateways).min(SPREAD.1).mul_f64(lot),
+    }
+}
+
 impl Follower {
     /// Doubles with each failure. Danger: gateways that are turned away together come back together, so
     /// each waits for a time of its own.
@@ -226,3 +237,19 @@
         ListKind::Delta
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_pushed_list_is_asked_for_at_once_and_others_before_they_count_as_told() {
+        let asked = Discovery::OnRequest { ask_every: 10_000_000 };
+        for gateways in [1, 300, 1024] {
+            assert_eq!(first_wait(Discovery::Pushed, gateways, 0.99), Duration::ZERO, "{gateways} gateways");
+            let longest = first_wait(asked, gateways, 1.0);
+            assert!(longest + OVERDUE < Duration::from_secs(6), "{gateways} gateways: {longest:?}");
+        }
+        assert!(first_wait(asked, 300, 0.9) > first_wait(asked, 300, 0.1), "calls are spread");
+    }
+}
