Weigh answers of the counter by time, so it is relied on soon after an outage

Ruled out: calls turned away after its return, the window of calls (3 to 6 free), silence (call_fails is 0 by then).

At fault: logic.rs, on_counted and on_counted_late: call_lost, the part of calls lost of late, moved by a tenth with each call however long ago the last one was. Not relied on, the counter is asked about once a second or less, so ten seconds went by before it fell under COUNTER_ILL. Now an answer tells the more the longer ago the last one came, as with errors of backends, and never enough alone.

To make room in the policy, refusals are counted by their reason in one place; that changes no decision.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -231,13 +231,13 @@
         // Two processes of this gateway go by the same total: each spends half of the part.
         let share = c.part() * if self.paired { 0.5 } else { 1.0 };
         if p.at_once > 0 && c.out as f64 >= (p.at_once as f64 * share).max(1.0).floor() {
-            return Verdict::Over(0);
+            return Verdict::Over(Reason::Over, 0);
         }
         if p.rate <= 0.0 {
             return Verdict::Pass(true, 0.0);
         }
         let (limit, rate) = (self.limit(c.plan), p.rate);
-        let over = |excess: f64| Verdict::Over((excess / rate * SECOND).max(0.0) as Micros);
+        let over = |why, excess: f64| Verdict::Over(why, (excess / rate * SECOND).max(0.0) as Micros);
         let (batches, recent) = (limit * share >= units, c.told_at().is_some_and(|t| self.since(t) <= SYNC));
         let known = c.prev.total.max(c.prev.own()) * (1.0 - x) + c.cur.total.max(c.cur.added);
         if self.counter_well() || recent {
@@ -249,8 +249,7 @@
             // Where the store or the estimate has room and only the part is spent, a fresh total settles it.
             let excess = c.all(x) + units - limit;
             if excess > 0.0 && c.store < units {
-                self.refusals.over += 1;
-                return over(excess.max(units * even));
+                return over(Reason::Over, excess.max(units * even));
             }
             let chance = self.call_chance(id, units);
             if self.counter_well() && self.may_call() && self.rng.next() < chance {
@@ -262,8 +261,7 @@
         if self.blind(id, units) {
             Verdict::Pass(!self.counter_well() || batches, self.odds(&self.customers[&id]))
         } else {
-            self.refusals.blind += 1;
-            over(units)
+            over(Reason::Blind, units)
         }
     }
 
@@ -282,11 +280,8 @@
         blend(&mut self.gain_mean, gain, GAIN / 5.0);
         let chance = self.pace.powf(self.gain_mean / gain);
         // Danger: a count that stands for many fills a small quota by itself and shuts its customer out.
-        if chance * self.limit(self.customers[&id].plan) < SPARSE * units {
-            0.0
-        } else {
-            chance
-        }
+        let tells = chance * self.limit(self.customers[&id].plan) >= SPARSE * units;
+        Some(chance).filter(|_| tells).unwrap_or(0.0)
     }
 
     /// Decides without a fresh total: the counter is silent or bears no more calls.
@@ -432,7 +427,7 @@
             self.calls_most = (self.calls_most + step).min(CALLS_MAX);
         }
         if result != Reckoned::Overdue {
-            self.call_lost += (f64::from(u8::from(!answered)) - self.call_lost) * GAIN;
+            self.note_call(!answered);
         }
         // Danger: a burst whose calls all fail together is one failure, not a dead counter.
         if answered {
@@ -482,12 +477,20 @@
         }
     }
 
+    /// Danger: of few calls each tells much: a counter that was back was not believed for ten seconds by most
+    /// of hundreds of gateways. The longer ago the last answer, the more this one tells; alone, not all.
+    fn note_call(&mut self, lost: bool) {
+        let gain = (1.0 - (-self.since(self.call_at) / (2.0 * SYNC)).exp()).clamp(GAIN, 0.9 * COUNTER_ILL);
+        self.call_lost += (f64::from(u8::from(lost)) - self.call_lost) * gain;
+        self.call_at = self.now;
+    }
+
     /// What became of an overdue call: its total is as true as one in time, and one turned away has not been
     /// added after all.
     fn on_counted_late(&mut self, name: CountName, amount: f64, result: Reckoned) {
         self.calls_out = (self.calls_out - 1.0).max(0.0);
         let total = if let Reckoned::Total(v) = result { Some(v).filter(|v| v.is_finite()) } else { None };
-        self.call_lost += (f64::from(u8::from(total.is_none())) - self.call_lost) * GAIN;
+        self.note_call(total.is_none());
         let Some(&(id, window)) = self.names.get(&name) else { return };
         self.roll(id);
         let now = self.now;
@@ -586,15 +589,10 @@
                 est += h.counted + h.later;
             } else {
                 c.cur.unsent -= h.counted;
-                let why = &mut self.refusals;
-                *if room {
-                    &mut why.nowhere
-                } else if told {
-                    &mut why.over
-                } else {
-                    &mut why.blind
-                } += 1;
-                self.refuse(h.id, ((est + h.units - limit).max(h.units) / limit * window) as Micros);
+                let seen = if told { Reason::Over } else { Reason::Blind };
+                let why = if room { Reason::Nowhere } else { seen };
+                let wait = (est + h.units - limit).max(h.units) / limit * window;
+                self.turn_away(h.id, why, wait as Micros);
             }
         }
     }
@@ -629,19 +627,15 @@
         let odds = match verdict {
             Verdict::Pass(_, odds) => odds,
             Verdict::Hold(_) => self.odds(&self.customers[&cid]),
-            Verdict::Over(_) => 0.0,
+            Verdict::Over(..) => 0.0,
         };
-        if !matches!(verdict, Verdict::Over(_)) && !self.can_serve(id, odds) {
-            self.refusals.pressed += 1;
+        if !matches!(verdict, Verdict::Over(..)) && !self.can_serve(id, odds) {
             // Clients told nothing come back at once: they are told what the queue takes.
-            return self.refuse(id, self.expected() as Micros);
+            return self.turn_away(id, Reason::Pressed, self.expected() as Micros);
         }
         match verdict {
             Verdict::Pass(counts, _) if self.launch(id) => self.charge(cid, units, counts),
-            Verdict::Pass(..) => {
-                self.refusals.nowhere += 1;
-                self.refuse(id, self.expected() as Micros);
-            }
+            Verdict::Pass(..) => self.turn_away(id, Reason::Nowhere, self.expected() as Micros),
             Verdict::Hold(counted) => {
                 // Danger: units counted for requests then refused shut others out: many are counted after.
                 let Some(c) = self.customers.get_mut(&cid) else { return };
@@ -652,8 +646,8 @@
                     self.schedule(cid, 0.0);
                 }
             }
-            Verdict::Over(wait) => {
-                self.refuse(id, wait);
+            Verdict::Over(why, wait) => {
+                self.turn_away(id, why, wait);
                 if self.pace >= 1.0 {
                     self.schedule(cid, SYNC);
                 }
@@ -1093,6 +1087,12 @@
         self.answer(id, Action::Fail { id });
     }
 
+    /// Refuses one that has not been sent anywhere.
+    fn turn_away(&mut self, id: RequestId, why: Reason, wait: Micros) {
+        self.refusals.count(why);
+        self.refuse(id, wait);
+    }
+
     fn refuse(&mut self, id: RequestId, wait: Micros) {
         let wait = if self.cfg.retry_advice { wait.min(self.cfg.max_advice) } else { 0 };
         self.answer(id, Action::Refuse { id, wait });
--- a/src/state.rs
+++ b/src/state.rs
@@ -244,8 +244,9 @@
     /// Time-outs' spans in a row in which calls failed and none was answered, and when last counted.
     pub(crate) call_fails: u32,
     pub(crate) failed_at: Micros,
-    /// Part of the calls, of late, that got no answer in time.
+    /// Part of the calls, of late, that got no answer in time, and when the last one ended.
     pub(crate) call_lost: f64,
+    pub(crate) call_at: Micros,
     pub(crate) counter_trial: Micros,
     pub(crate) backends: BTreeMap<BackendId, Backend>,
     /// Backends out by hand, listed or not, and since when.
@@ -288,7 +289,28 @@
     Pass(bool, f64),
     /// Held for a fresh total, with what is counted for it.
     Hold(f64),
-    Over(Micros),
+    /// Refused for this reason, with how long to stay away.
+    Over(Reason, Micros),
+}
+
+/// Why a request is refused unsent.
+#[derive(Clone, Copy)]
+pub(crate) enum Reason {
+    Over,
+    Blind,
+    Pressed,
+    Nowhere,
+}
+
+impl Refusals {
+    pub(crate) fn count(&mut self, why: Reason) {
+        *match why {
+            Reason::Over => &mut self.over,
+            Reason::Blind => &mut self.blind,
+            Reason::Pressed => &mut self.pressed,
+            Reason::Nowhere => &mut self.nowhere,
+        } += 1;
+    }
 }
 
 /// Moves a running mean; one not begun takes the first sample.
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -406,3 +406,33 @@
     let (_, most) = made(16);
     assert_eq!(most, 1, "the counter seems to have room, and one call settles a request");
 }
+
+#[test]
+fn a_counter_that_is_back_from_an_outage_is_soon_relied_on() {
+    // Danger: each of hundreds makes about one call a second then; one by one, ten answers were needed.
+    let mut rig = rig(300, 7, 100);
+    let mut next = 0;
+    let mut play = |rig: &mut Rig, seconds: u32, answer: Reckoned| {
+        for _ in 0..seconds * 10 {
+            next += 1;
+            // This one's part holds a request: its counts are synced whatever the counter does.
+            rig.spread = 2.0;
+            rig.ask(next, 5);
+            rig.run(100 * MS);
+            let acts = std::mem::take(&mut rig.out);
+            answer_calls(rig, &acts, answer);
+            for (id, on) in sent(&acts) {
+                rig.end(id, 0, on, Outcome::Ok, 50);
+            }
+        }
+        // One whose part holds none is held for a total where the counter is relied on.
+        next += 1;
+        rig.spread = 300.0;
+        let acts = rig.ask(next, 1_000 + u64::from(next));
+        answer_calls(rig, &acts, answer);
+        calls(&acts).len()
+    };
+    assert!(play(&mut rig, 5, Reckoned::Total(1.0)) > 0, "while the counter is well");
+    assert_eq!(play(&mut rig, 12, Reckoned::NotAdded), 0, "while it is away");
+    assert!(play(&mut rig, 6, Reckoned::Total(1.0)) > 0, "6 s after its return");
+}
