Keep the ids of listed backends in a set, so a list of a thousand is read in proportion

Seen by reading: driver.rs, id_of, compared each new backend's id with those of all listed ones, so a first list of n backends took n x n / 2 steps; harmless at 60, half a million steps at 1,024. Now they are in a set.

Tests: with 1,024 backends and 350 peers in the configuration a gateway starts, serves, reloads, hears of drains and ends, within 32 MB and 256 descriptors; over 20,000 requests of ever new customers to ever new backends what the module keeps of customers, names, requests, timers and backends stays level (both on what was there before as well). The log line every 5 s now also tells the customers and names held.

--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -90,6 +90,8 @@
     acts: Vec<Action>,
     /// Listed backends by name, as last told.
     names: HashMap<String, (BackendId, Endpoint)>,
+    /// The ids of these.
+    taken: HashSet<BackendId>,
     /// Backends out by hand, listed or not.
     barred: BTreeMap<String, BackendId>,
     refetch: bool,
@@ -170,6 +172,7 @@
             events: VecDeque::new(),
             acts: Vec::new(),
             names: HashMap::new(),
+            taken: HashSet::new(),
             barred: BTreeMap::new(),
             refetch: false,
             tally: Tally::default(),
@@ -290,7 +293,7 @@
     pub fn bar(&self, name: &str, out: bool) {
         let mut core = self.0.core.borrow_mut();
         let listed = core.names.get(name).map(|n| n.0).or(core.barred.get(name).copied());
-        let backend = listed.unwrap_or_else(|| id_of(name, &core.names));
+        let backend = listed.unwrap_or_else(|| id_of(name, &core.taken));
         if out {
             core.barred.insert(name.to_owned(), backend);
         } else {
@@ -370,7 +373,7 @@
     }
 
     fn take_list(&self, list: List, kind: ListKind) {
-        let mut core = self.0.core.borrow_mut();
+        let core = &mut *self.0.core.borrow_mut();
         if kind != ListKind::Delta {
             // A backend that a whole list leaves out is gone.
             let named: HashSet<&str> = list.endpoints.iter().map(|e| e.name.as_str()).collect();
@@ -378,15 +381,16 @@
             core.names.retain(|name, (id, _)| {
                 let stays = named.contains(name.as_str());
                 if !stays {
+                    core.taken.remove(id);
                     pool.forget(*id);
                 }
                 stays
             });
         }
-        let rows = list.endpoints.into_iter().filter_map(|e| self.row(&mut core, e));
+        let rows = list.endpoints.into_iter().filter_map(|e| self.row(core, e));
         let rows: Vec<BackendRow> = rows.collect();
         core.events.push_back(Event::Backends { kind, version: list.index, rows });
-        self.run(&mut core, self.0.clock.now());
+        self.run(core, self.0.clock.now());
     }
 
     /// A backend as the module knows it; `None` for one more than may be remembered.
@@ -396,7 +400,7 @@
         if known.is_none() && core.names.len() >= MOST_BACKENDS {
             return None;
         }
-        let backend = known.map_or_else(|| id_of(&e.name, &core.names), |k| k.0);
+        let backend = known.map_or_else(|| id_of(&e.name, &core.taken), |k| k.0);
         let same_process = known.is_some_and(|k| k.1 == e.since_ms);
         let place = |names: &[String], name: &str| {
             names.iter().position(|n| n == name).and_then(|i| u8::try_from(i).ok()).unwrap_or(u8::MAX)
@@ -414,9 +418,11 @@
         if state == BackendState::Gone {
             self.0.pool.forget(backend);
             core.names.remove(&e.name);
+            core.taken.remove(&backend);
         } else {
             self.0.pool.set(backend, e.address, state == BackendState::Ready, same_process);
             core.names.insert(e.name.clone(), (backend, e));
+            core.taken.insert(backend);
         }
         Some(row)
     }
@@ -654,7 +660,7 @@
             "refused: over {} blind {} pressed {} nowhere {}; expected {:.0} ms idle {:.0} ms; out {} lost {} open {}; \
              backends {} aside {}; attempts: ok {ok} error {error} full {full} timeout {timeout} \
              connect {connect} reset {reset} cancelled {cancelled} moot {moot}; counter: ok {total} away {away} \
-             unanswered {unanswered} overdue {overdue} late {late} pace {:.2} window {:.0}",
+             unanswered {unanswered} overdue {overdue} late {late} pace {:.2} window {:.0}; held: customers {} names {}",
             v.refusals.over - before.over,
             v.refusals.blind - before.blind,
             v.refusals.pressed - before.pressed,
@@ -668,6 +674,8 @@
             v.aside,
             v.pace,
             v.calls_most,
+            v.customers,
+            v.names,
         );
     }
 }
@@ -713,13 +721,13 @@
 
 /// The module's id for a backend: made from its name, which all gateways know it by and which stays
 /// when its process restarts or its address changes.
-fn id_of(name: &str, taken: &HashMap<String, (BackendId, Endpoint)>) -> BackendId {
+fn id_of(name: &str, taken: &HashSet<BackendId>) -> BackendId {
     let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
     let mut hash = name.bytes().fold(0xcbf2_9ce4_8422_2325, step);
     loop {
         let b = hash.to_be_bytes();
         let id = BackendId { address: [b[0], b[1], b[2], b[3]], port: u16::from_be_bytes([b[4], b[5]]) };
-        if !taken.values().any(|t| t.0 == id) {
+        if !taken.contains(&id) {
             return id;
         }
         hash = step(hash, 0);
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -291,6 +291,8 @@
     pub known: Option<String>,
     pub memory_mb: u32,
     pub sockets: u32,
+    /// Gateways whose addresses the configuration gives.
+    pub peers: u32,
     /// The platform's part, where it holds the clients' socket.
     pub platform: Option<Platform>,
     /// Changes to the settings: what is replaced, and by what.
@@ -306,6 +308,7 @@
             known: None,
             memory_mb: 192,
             sockets: 256,
+            peers: 0,
             platform: None,
             changes: &[],
         }
@@ -343,8 +346,11 @@
             assert!(settings.contains(old), "{old} is not in the settings");
             settings = settings.replace(old, new);
         }
+        let peers: Vec<_> =
+            (0..start.peers).map(|n| format!("\"127.9.{}.{}:7946\"", n / 250, n % 250)).collect();
+        let peers = peers.join(",");
         let text = format!(
-            r#"{{"name":"n{}","listen":"{address}","discovery":"DISCOVERY","seed":"8c1f30d27a5be964",
+            r#"{{"name":"n{}","listen":"{address}","discovery":"DISCOVERY","seed":"8c1f30d27a5be964","peers":[{peers}],
 "limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"counter":"COUNTER",{known}"settings":{}}}"#,
             start.me, start.memory_mb, start.sockets, settings
         );
--- a/node/tests/service.rs
+++ b/node/tests/service.rs
@@ -396,3 +396,43 @@
     backend.ended.recv_timeout(Duration::from_secs(5)).expect("the other connection is closed");
     assert_eq!(clients[0].ask(&request("orden-nueva", 7, 2000)).status(), 200);
 }
+
+/// Guards against lists of a large fleet that are cut, that take the memory or the descriptors of the smallest
+/// gateway, or that keep it from its start, a new configuration or its end.
+#[test]
+fn a_thousand_backends_and_hundreds_of_peers_fit_the_smallest_gateway() {
+    let backend = Fake::start(|_| ok("x"));
+    let name = |n: u32| format!("s-{n:08x}");
+    let entries = |from: u32| (from..from + 1024).map(|n| entry(&name(n), backend.address, "SERVING"));
+    let start = Start {
+        known: Some(list(1, true, &entries(0).collect::<Vec<_>>())),
+        memory_mb: 32,
+        peers: 350,
+        changes: &[(r#""balancers":2"#, r#""balancers":350"#)],
+        ..Start::default()
+    };
+    let mut scene = scene(&start, entries(0).collect(), counter());
+    let mut client = scene.gateway.client();
+    assert_eq!(scene.gateway.figures()["known_backends"], 1024);
+    assert_eq!(client.ask(&request("consulta", 1, 2000)).status(), 200);
+
+    let (discovery, counter) = (Discovery::start(entries(512).collect()), counter());
+    scene.gateway.reload(discovery.fake.address, counter.address);
+    assert_eq!(discovery.fake.next().path(), "/v1/servers");
+    discovery.settled();
+    assert_eq!(scene.gateway.figures()["known_backends"], 1024);
+    for customer in 10..40 {
+        assert_eq!(client.ask(&request("consulta", customer, 2000)).status(), 200);
+    }
+    // All but one of those left drain, one after another, and it alone serves.
+    let draining = (512..1535).map(|n| entry(&name(n), backend.address, "DRAINING"));
+    discovery.set(draining.chain([entry(&name(1535), backend.address, "SERVING")]).collect());
+    discovery.settled();
+    assert_eq!(scene.gateway.figures()["skipped_backends"], 1023);
+    assert_eq!(client.ask(&request("consulta", 50, 2000)).status(), 200);
+    assert!(scene.gateway.memory_mb() < 32, "{} MB", scene.gateway.memory_mb());
+    let open = std::fs::read_dir(format!("/proc/{}/fd", scene.gateway.pid())).expect("a list").count();
+    assert!(open < 256, "{open} descriptors");
+    scene.gateway.terminate();
+    assert!(scene.gateway.wait().success());
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -206,6 +206,16 @@
     pub aside: usize,
     /// Backends listed that get nothing new: out by hand, draining, or aside for their health.
     pub skipped: usize,
+    /// What is held: customers, names of counts, requests, timers, and backends listed or not.
+    pub customers: usize,
+    /// See `customers`.
+    pub names: usize,
+    /// See `customers`.
+    pub requests: usize,
+    /// See `customers`.
+    pub timers: usize,
+    /// See `customers`.
+    pub backends: usize,
     /// Pace of calls to the counter, and how many may be out.
     pub pace: f64,
     /// See `pace`.
@@ -386,6 +396,11 @@
             listed: listed.clone().count(),
             aside: listed.clone().filter(|b| b.health != Health::Well).count(),
             skipped: listed.filter(|b| !self.usable(b)).count(),
+            customers: self.customers.len(),
+            names: self.names.len(),
+            requests: self.requests.len(),
+            timers: self.timers.len(),
+            backends: self.backends.len(),
             pace: self.pace,
             calls_most: self.calls_most,
         }
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -436,3 +436,39 @@
     assert_eq!(play(&mut rig, 12, Reckoned::NotAdded), 0, "while it is away");
     assert!(play(&mut rig, 6, Reckoned::Total(1.0)) > 0, "6 s after its return");
 }
+
+#[test]
+fn what_is_kept_of_a_long_day_of_ever_new_names_has_an_end() {
+    // Danger: a gateway that runs for weeks meets customers, backends and windows without number.
+    let mut rig = rig(300, 7, 8);
+    let mut most = [0; 5];
+    for id in 0..20_000u32 {
+        rig.out.clear();
+        rig.ask(id, 1_000 + u64::from(id));
+        if id % 20 == 0 {
+            // One backend is replaced by another of a new name.
+            let n = id / 20;
+            let old = BackendRow::new(named(n), BackendState::Gone);
+            let new = BackendRow::new(named(n + 1), BackendState::Ready);
+            rig.feed(Event::Backends { kind: ListKind::Delta, version: u64::from(id), rows: vec![old, new] });
+        }
+        rig.run(100 * MS);
+        let acts = std::mem::take(&mut rig.out);
+        answer_calls(&mut rig, &acts, Reckoned::Total(1.0));
+        for (id, on) in sent(&acts) {
+            rig.end(id, 0, on, if id % 7 == 0 { Outcome::Timeout } else { Outcome::Ok }, 50);
+        }
+        let v = rig.gateway.vitals();
+        let kept = [v.customers, v.names, v.requests, v.timers, v.backends];
+        most = std::array::from_fn(|i| most[i].max(kept[i]));
+    }
+    // Ten requests a second, and a customer is forgotten after 16 s: 160 and those of a second between sweeps.
+    assert!(most[0] < 250 && most[1] < 500, "{} customers and {} names", most[0], most[1]);
+    assert!(most[2] < 60 && most[3] < 60, "{} requests and {} timers", most[2], most[3]);
+    assert!(most[4] < 24, "{} backends", most[4]);
+}
+
+fn named(n: u32) -> BackendId {
+    let [_, a, b, c] = n.to_be_bytes();
+    BackendId { address: [11, a, b, c], port: 80 }
+}
