Give each class a fair part of the room and bound queues nearer the shortest aim

At fault: logic.rs, can_serve: the bound on the queue was each class's own aim or a shorter one of a worthier class. The worthier, patient class (book, 1,416 ms) fills the queue to its own bound, which lies over any that a class of a short aim (search, 572 ms) may meet, so that one gets in by the floor alone, and goes unmeasured. Now the bound goes by the mean of its own aim and the shortest, and a class that is let in at less than FAIR of the rate of the best served one goes on if it has time for its own work.

To make room, the class figures are set up in state.rs.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -41,6 +41,7 @@
 const STRETCH: f64 = 7.0; // Queue, as a multiple of what idle backends take, above which work is refused.
 const PRIOR: f64 = 2.0; // Requests that own throughput must outweigh to count for more than late latency.
 const RETRY_PART: f64 = 0.1; // Further attempts earned by each first one: the bound on retries.
+const FAIR: f64 = 0.3; // A class is let in at this part of the rate of the best served one, at the least.
 const HEDGE: (f64, f64) = (0.45, 0.7); // A copy is sent between these parts of the aim.
 const FIRST_FEW: u32 = 20; // Answers of a class that tell together what idle backends take.
 const BROKEN: [f64; 2] = [1.0, 8.0]; // The same if all connections break: for what may go again or not.
@@ -83,22 +84,18 @@
     /// A gateway that knows its settings and nothing else.
     pub fn new(cfg: Config, seed: u64) -> Result<Self, ConfigError> {
         cfg.check()?;
-        let (rng, n) = (Random(mix(seed) | 1), cfg.classes.len());
-        let (class_lat, class_base, class_seen) = (vec![0.0; n], vec![0.0; n], vec![0; n]);
+        let (rng, classes) = (Random(mix(seed) | 1), cfg.classes.len());
         let (over_seen, retry_tokens) = (vec![FIRST_ODDS; cfg.plans.len()], 1.0);
         let pace = (CALLS_MAX / cfg.gateways as f64).clamp(0.3, 1.0);
         Ok(Gateway {
             cfg,
             rng,
-            class_lat,
-            class_base,
-            class_seen,
             over_seen,
             pace,
             calls_most: CALLS_MAX,
             calls_safe: CALLS_MAX,
             retry_tokens,
-            ..Self::default()
+            ..Self::for_classes(classes)
         })
     }
 
@@ -477,8 +474,7 @@
         }
     }
 
-    /// Danger: of few calls each tells much: a counter that was back was not believed for ten seconds by most
-    /// of hundreds of gateways. The longer ago the last answer, the more this one tells; alone, not all.
+    /// Danger: of few calls each tells much, or an outage outlasts itself. The longer ago the last, the more.
     fn note_call(&mut self, lost: bool) {
         let gain = (1.0 - (-self.since(self.call_at) / (2.0 * SYNC)).exp()).clamp(GAIN, 0.9 * COUNTER_ILL);
         self.call_lost += (f64::from(u8::from(lost)) - self.call_lost) * gain;
@@ -740,18 +736,17 @@
 
     /// Whether new work can be done within its aim; the least worth for its work gives way first.
     fn can_serve(&mut self, id: RequestId, odds: f64) -> bool {
-        let (r, expected) = (&self.requests[&id], self.expected());
-        let worth = self.density(r.class) * self.cfg.plans[self.customers[&r.customer].plan].price;
+        let (r, class, expected) = (&self.requests[&id], self.requests[&id].class, self.expected());
+        let worth = self.density(class) * self.cfg.plans[self.customers[&r.customer].plan].price;
         blend(&mut self.worth_mean, worth, GAIN / 10.0);
         if self.mix_lat <= 0.0 {
             return true;
         }
         let rank = worth / (worth + self.worth_mean);
-        // A patient class's queue would make worthier work late: the shortest of their aims bounds it.
-        let worthier = |&i: &usize| self.density(i) >= self.density(r.class);
-        let aims = (0..self.cfg.classes.len()).filter(worthier).map(|i| self.cfg.classes[i].aim);
+        // A patient class's queue makes the others' work late: it is bounded halfway to the shortest aim.
+        let least = self.cfg.classes.iter().map(|c| c.aim).min().unwrap_or(0);
         // Danger: a client that gives up sooner than the aim makes waste of work sent on too late for it.
-        let aim = aims.min().unwrap_or(0).min(r.deadline.saturating_sub(self.now));
+        let aim = ((self.cfg.classes[class].aim + least) / 2).min(r.deadline.saturating_sub(self.now));
         let within = aim as f64 * (PRESS.0 + (PRESS.1 - PRESS.0) * rank);
         // Held too long, servers do less: the queue is kept to a few times what idle ones take.
         let idle = if self.mix_base > 0.0 { self.mix_base } else { SECOND };
@@ -760,7 +755,13 @@
         let within = within * (1.0 - odds * (1.0 - DOUBT * self.pace * self.pace));
         // Danger: a floor that each gateway may fill jams the fleet: two a backend in all, taken in turns.
         let floor = self.turns(2.0 * self.backends.len() as f64 / self.cfg.gateways as f64, SECOND, 0);
-        expected <= within || self.waiting() < floor
+        // Danger: a class that is refused while others fill the queue is served nowhere, and never measured.
+        let best = self.class_let.iter().map(Part::value).fold(0.0, f64::max);
+        let in_time = self.class_base[class] <= aim as f64 * PRESS.1;
+        let starved = in_time && self.class_let[class].value() < FAIR * best;
+        let room = expected <= within || self.waiting() < floor || starved;
+        self.class_let[class].note(room);
+        room
     }
 
     /// Time to completion by Little's law. Danger: one of hundreds of gateways has one request out and few
@@ -865,6 +866,7 @@
         self.done_rate += (self.done_count / span.max(1.0) * SECOND - self.done_rate) * gain;
         self.sent_rate += (self.sent_count / span.max(1.0) * SECOND - self.sent_rate) * gain;
         (self.done_count, self.sent_count, self.done_at) = (0.0, 0.0, self.now);
+        self.class_let.iter_mut().for_each(|p| p.fade((span / BELIEF).min(1.0)));
         self.find_lost();
         self.learn_usual();
         self.near_turns(span);
--- a/src/state.rs
+++ b/src/state.rs
@@ -275,6 +275,8 @@
     pub(crate) class_base: Vec<f64>,
     /// Answers of each that these rest on, up to the first few.
     pub(crate) class_seen: Vec<u32>,
+    /// Of the requests of each that asked for room of late, the part let in.
+    pub(crate) class_let: Vec<Part>,
     /// Completions a second (smoothed), for the bound on what is out.
     pub(crate) done_rate: f64,
     pub(crate) done_count: f64,
@@ -323,6 +325,28 @@
     }
 }
 
+/// A part of what came of late, in counts that fade.
+#[derive(Default, Clone)]
+pub(crate) struct Part {
+    all: f64,
+    hits: f64,
+}
+
+impl Part {
+    pub(crate) fn note(&mut self, hit: bool) {
+        (self.all, self.hits) = (self.all + 1.0, self.hits + f64::from(u8::from(hit)));
+    }
+
+    /// Forgets this part of what was counted.
+    pub(crate) fn fade(&mut self, part: f64) {
+        (self.all, self.hits) = (self.all * (1.0 - part), self.hits * (1.0 - part));
+    }
+
+    pub(crate) fn value(&self) -> f64 {
+        self.hits / self.all.max(1.0)
+    }
+}
+
 /// Moves a running mean; one not begun takes the first sample.
 pub(crate) fn blend(mean: &mut f64, sample: f64, gain: f64) {
     *mean += (sample - *mean) * if *mean > 0.0 { gain } else { 1.0 };
@@ -384,6 +408,12 @@
 pub(crate) type Kinds = [(u8, usize); 2];
 
 impl Gateway {
+    /// One that has seen nothing yet of so many classes.
+    pub(crate) fn for_classes(n: usize) -> Self {
+        let (class_lat, class_base, class_seen) = (vec![0.0; n], vec![0.0; n], vec![0; n]);
+        Gateway { class_lat, class_base, class_seen, class_let: vec![Part::default(); n], ..Self::default() }
+    }
+
     /// What the decisions go by at this moment: for the log, which tells one cause of refusals from another.
     pub fn vitals(&self) -> Vitals {
         let listed = self.backends.values().filter(|b| b.listed);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -78,9 +78,17 @@
     }
 
     pub fn ask_units(&mut self, id: u32, customer: u64, units: f64) -> Vec<Action> {
+        self.ask_for(id, customer, 0, units)
+    }
+
+    pub fn ask_class(&mut self, id: u32, customer: u64, class: usize) -> Vec<Action> {
+        self.ask_for(id, customer, class, 1.0)
+    }
+
+    fn ask_for(&mut self, id: u32, customer: u64, class: usize, units: f64) -> Vec<Action> {
         self.feed(Event::Request(Arrival {
             id: RequestId(id),
-            class: ClassIx(0),
+            class: ClassIx(class as _),
             plan: PlanIx(0),
             customer: CustomerId(customer),
             deadline: self.now + self.deadline,
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -472,3 +472,34 @@
     let [_, a, b, c] = n.to_be_bytes();
     BackendId { address: [11, a, b, c], port: 80 }
 }
+
+#[test]
+fn a_class_of_a_short_aim_is_not_shut_out_by_one_of_a_long_aim() {
+    // Danger: with most backends cold, the class that may wait longer filled all queues up to its own aim.
+    let mut classes = vec![Class::pure("short", 600 * MS, 2 * SEC), Class::pure("long", 1_500 * MS, 5 * SEC)];
+    classes[1].worth = 3.0;
+    let config = Config { classes, ..many(300, 7, Plan::rated("open", 0.0, 0.0)) };
+    let mut rig = Rig::new(config, 16);
+    let (mut asked, mut sent_on) = ([0u32; 2], [0u32; 2]);
+    let mut out: Vec<(Micros, u32, BackendId)> = Vec::new();
+    for id in 0..1_200u32 {
+        let class = (id % 2) as usize;
+        let acts = rig.ask_class(id, 1_000 + u64::from(id), class);
+        // Own work takes 150 ms; what stands in the queues, the more the longer the day has gone on.
+        let took = if id < 200 { 150 } else { 450 };
+        out.extend(sent(&acts).into_iter().map(|(id, on)| (rig.now + took * MS, id, on)));
+        if id >= 600 {
+            asked[class] += 1;
+            sent_on[class] += sent(&acts).len() as u32;
+        }
+        rig.run(50 * MS);
+        let due = out.iter().filter(|o| o.0 <= rig.now).copied().collect::<Vec<_>>();
+        out.retain(|o| o.0 > rig.now);
+        for (_, id, on) in due {
+            rig.end(id, 0, on, Outcome::Ok, took);
+        }
+    }
+    let rate = |c: usize| f64::from(sent_on[c]) / f64::from(asked[c]);
+    assert!(rate(0) > 0.2 * rate(1), "of the short one {:.2} go on, of the long one {:.2}", rate(0), rate(1));
+    assert!(rate(0) < rate(1), "the worthier one goes first: {:.2} and {:.2}", rate(0), rate(1));
+}
