Look whether the client of a request in work has left, also behind bytes that nobody reads

Seen, with real sockets (node/tests/leaving.rs): a client that sends 20 bytes behind its request and closes or resets is not noticed while its request waits for the module, a connection, a backend or its body; the request goes on up to its deadline and further attempts follow.

Cause: hyper looks for the end of the stream only while its read buffer is empty (server.rs left it to hyper alone); with bytes in it, or with a long body that nobody asks for, it reads no further. Ruled out: a clean close and a reset with nothing behind the request are seen at once in every phase but that of the body (the same tests, without the fix).

An end that has not reached this machine, as more is on its way than the window holds, can't be seen.

Orders looked at: leaving while held for a total, while a connection comes up, after a try that was turned away, at a backend, during shutdown, with a long body; each by close, reset, and both behind few or many bytes.

--- a/node/src/metered.rs
+++ b/node/src/metered.rs
@@ -7,13 +7,14 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
-use std::task::{Context, Poll};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use std::task::{Context, Poll, Waker};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
@@ -99,6 +100,25 @@
     }
 }
 
+impl Meter {
+    /// Whether the other side has ended the connection or its sending. Danger: with bytes in between that
+    /// nobody reads, neither a read nor a peek comes to that end; the runtime is told of it beside them.
+    pub fn hung_up(&self) -> bool {
+        let stream = self.stream.borrow();
+        let looked = pin!(stream.ready(Interest::READABLE)).poll(&mut Context::from_waker(Waker::noop()));
+        let mut byte = [MaybeUninit::uninit()];
+        match looked {
+            Poll::Ready(Ok(ready)) if ready.is_read_closed() => true,
+            // Where it is not told, the end still shows once there is nothing before it.
+            Poll::Ready(_) => match SockRef::from(&*stream).peek(&mut byte) {
+                Ok(n) => n == 0,
+                Err(e) => e.kind() != io::ErrorKind::WouldBlock,
+            },
+            Poll::Pending => false,
+        }
+    }
+}
+
 /// Counts the bytes that go through the socket.
 pub struct Metered(pub Rc<Meter>);
 
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -2,6 +2,7 @@
 //! seen over channels, so that tests wait for what happens and not for time to pass.
 #![allow(dead_code)]
 
+use socket2::{Domain, SockRef, Socket, Type};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -108,7 +109,10 @@
 
 impl Fake {
     pub fn start(react: impl Fn(&Seen) -> Reaction + Send + Sync + 'static) -> Self {
-        let listener = TcpListener::bind((own_address(), 0)).expect("a free port");
+        Self::over(TcpListener::bind((own_address(), 0)).expect("a free port"), react)
+    }
+
+    pub fn over(listener: TcpListener, react: impl Fn(&Seen) -> Reaction + Send + Sync + 'static) -> Self {
         let address = listener.local_addr().expect("an address");
         let ((tell, seen), (tell_end, ended)) = (channel(), channel());
         let (react, connections) = (Arc::new(react), Arc::new(AtomicUsize::new(0)));
@@ -130,6 +134,36 @@
     }
 }
 
+/// An address at which connections do not come up until `open`.
+pub struct Mute {
+    pub address: SocketAddr,
+    listener: TcpListener,
+    /// What fills its line.
+    line: Vec<TcpStream>,
+}
+
+impl Mute {
+    pub fn start() -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        let own: SocketAddr = format!("{}:0", own_address()).parse().expect("an address");
+        socket.bind(&own.into()).expect("a free port");
+        socket.listen(0).expect("a listener");
+        let listener = TcpListener::from(socket);
+        let address = listener.local_addr().expect("an address");
+        let mut line = Vec::new();
+        while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(100)) {
+            line.push(stream);
+        }
+        Mute { address, listener, line }
+    }
+
+    /// From now on connections come up, also those that have been waiting, and are served.
+    pub fn open(self, react: impl Fn(&Seen) -> Reaction + Send + Sync + 'static) -> Fake {
+        drop(self.line);
+        Fake::over(self.listener, react)
+    }
+}
+
 fn serve(
     stream: TcpStream,
     conn: usize,
@@ -168,8 +202,13 @@
 }
 
 pub fn entry(name: &str, address: SocketAddr, status: &str) -> String {
+    entry_since(name, address, status, 0)
+}
+
+/// The same for a process that started then.
+pub fn entry_since(name: &str, address: SocketAddr, status: &str, since_ms: u64) -> String {
     format!(
-        r#"{{"name":"{name}","address":"{address}","zone":"a","type":"k","group":1,"status":"{status}","weight":1.0,"since_ms":0}}"#
+        r#"{{"name":"{name}","address":"{address}","zone":"a","type":"k","group":1,"status":"{status}","weight":1.0,"since_ms":{since_ms}}}"#
     )
 }
 
@@ -393,6 +432,16 @@
         line.trim().trim_end_matches("kB").trim().parse::<u64>().expect("a number") / 1024
     }
 
+    /// Descriptors that it holds now.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.pid())).expect("a list").count()
+    }
+
+    /// What it has written to its log so far.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.config.with_extension("log")).expect("a log")
+    }
+
     pub fn pid(&self) -> u32 {
         self.child.id()
     }
@@ -476,6 +525,20 @@
     }
 }
 
+/// How a client leaves.
+#[derive(Debug, Clone, Copy)]
+pub enum Leave {
+    Close,
+    Reset,
+    /// With so many bytes sent that nobody has asked for.
+    CloseBehind(usize),
+    ResetBehind(usize),
+}
+
+/// Few bytes end in the gateway's hands, many stay in the socket.
+pub const LEAVES: [Leave; 5] =
+    [Leave::Close, Leave::Reset, Leave::CloseBehind(20), Leave::CloseBehind(20_000), Leave::ResetBehind(20)];
+
 pub struct Client {
     from: BufReader<TcpStream>,
 }
@@ -490,6 +553,15 @@
         self.from.get_mut().write_all(text.as_bytes()).expect("the gateway reads");
     }
 
+    pub fn leave(mut self, how: Leave) {
+        if let Leave::CloseBehind(n) | Leave::ResetBehind(n) = how {
+            self.send(&"x".repeat(n));
+        }
+        if let Leave::Reset | Leave::ResetBehind(_) = how {
+            SockRef::from(self.from.get_ref()).set_linger(Some(Duration::ZERO)).expect("an option");
+        }
+    }
+
     /// The next line, without its end.
     pub fn line(&mut self) -> String {
         let mut line = String::new();
