Give a test's gateway an address that nothing has held before: no port still taken at its start

Cause: free_port() in the tests took a port and freed it; a child that another test's thread is starting at that moment holds a copy of all open descriptors until its exec. Each test has addresses of its own, so a fixed port on them is free.

--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -358,10 +358,10 @@
     text.replace("DISCOVERY", &discovery.to_string()).replace("COUNTER", &counter.to_string())
 }
 
-/// A port that is free now, on an address that no other test uses.
-fn free_port() -> SocketAddr {
-    let probe = TcpListener::bind((own_address(), 0)).expect("a free port");
-    probe.local_addr().expect("an address")
+/// Where nothing listens, on an address that no other test uses. Danger: a port is not found by taking and freeing
+/// one: a child that another test is starting holds a copy of what was open then, and the port is still taken.
+pub fn free_port() -> SocketAddr {
+    format!("{}:8081", own_address()).parse().expect("an address")
 }
 
 /// The program, running.
--- a/node/tests/gateway.rs
+++ b/node/tests/gateway.rs
@@ -29,12 +29,6 @@
     Scene { gateway, discovery, counter }
 }
 
-/// A port on which nothing listens.
-fn closed_port() -> std::net::SocketAddr {
-    let listener = std::net::TcpListener::bind((own_address(), 0)).expect("a free port");
-    listener.local_addr().expect("an address")
-}
-
 const FULL: &str = "x-unprocessed: 1\r\n";
 
 /// Guards against a request or an answer that is altered on its way.
@@ -124,7 +118,7 @@
     let good = Fake::start(|_| ok("done"));
     let full = Fake::start(|_| Reaction::Answer(answer("503 Service Unavailable", FULL, "")));
     let late = Fake::start(|_| Reaction::Answer(answer("504 Gateway Timeout", FULL, "")));
-    for other in [closed_port(), full.address, late.address] {
+    for other in [free_port(), full.address, late.address] {
         let entries = vec![entry("s-0", other, "SERVING"), entry("s-1", good.address, "SERVING")];
         let scene = scene_with(Start::default(), entries, counter());
         let mut client = scene.gateway.client();
@@ -325,9 +319,9 @@
         2 => ok(&news),
         _ => Reaction::Silence,
     });
-    let gone = entry("s-gone", closed_port(), "SERVING");
+    let gone = entry("s-gone", free_port(), "SERVING");
     let start = Start { known: Some(list(7, true, &[gone])), ..Start::default() };
-    let gateway = Gateway::start(&start, discovery.address, closed_port());
+    let gateway = Gateway::start(&start, discovery.address, free_port());
     let asked: Vec<_> = (0..5).map(|_| discovery.next().path().to_owned()).collect();
     let from = |index: u64| format!("/v1/servers?index={index}&wait=4000");
     assert_eq!(asked, [from(7), from(7), from(7), from(8), from(8)]);
@@ -340,14 +334,14 @@
     let backend = Fake::start(|_| ok("x"));
     let silent = Fake::start(|_| Reaction::Silence);
     let start = Start::default();
-    let mut gateway = Gateway::launch(&start, silent.address, closed_port());
+    let mut gateway = Gateway::launch(&start, silent.address, free_port());
     assert_eq!(silent.next().path(), "/v1/servers");
     let until = Instant::now() + LONG;
     while gateway.health() != Some(503) {
         assert!(Instant::now() < until && gateway.health() != Some(200));
     }
     let known = Some(list(3, true, &serving(&[&backend])));
-    gateway = Gateway::start(&Start { known, ..start }, silent.address, closed_port());
+    gateway = Gateway::start(&Start { known, ..start }, silent.address, free_port());
     assert_eq!(gateway.client().ask(&request("consulta", 7, 2000)).status(), 200);
 }
 
--- a/node/tests/leaving.rs
+++ b/node/tests/leaving.rs
@@ -146,7 +146,7 @@
             until("it is taken", || in_progress(&scene.gateway) == 1);
             client.leave(how);
             let took = until(&format!("{how:?}: it is called off"), || in_progress(&scene.gateway) == 0);
-            (0..8).for_each(|_| drop(go.send(())));
+            (0..8).for_each(|_| go.send(()).expect("the counter waits"));
             assert_eq!(scene.gateway.client().ask(&request("consulta", 9, WAIT_MS)).status(), 200);
             let seen: Vec<_> = backend.seen.try_iter().map(|s| s.path().to_owned()).collect();
             assert!(seen.len() == 2 && seen[1].ends_with('9'), "{how:?}: {seen:?}");
