Let no connection outlive the process or the place of the backend that it was begun for

A connection that comes up after its backend has moved carries its request to the old place.

Cause: backend.rs, put_back and attempt asked only whether the backend is in service; set() clears what is idle at that moment and knows nothing of what is out. Connections now carry the era of their backend, which changes with all that made them useless before: another process or address, a drain, close_idle (a probe found need of it), a ban.

Orders looked at and harmless: a backend that drains or goes while its attempt is out (put_back found it out of service); one that is forgotten and listed again (eras are the pool's, none comes twice); an idle connection that dies unseen before a byte is written (the attempt is begun again); the same id for another name (48 bits of its hash).

--- a/node/src/backend.rs
+++ b/node/src/backend.rs
@@ -62,12 +62,16 @@
     address: SocketAddr,
     /// In service: neither draining nor gone.
     ready: bool,
+    /// Changes with all that makes connections from before useless.
+    era: u64,
     idle: Vec<(Conn, Instant)>,
 }
 
 /// A connection, counted for as long as it lives.
 pub struct Conn {
     link: Link,
+    /// Its backend's when it was begun.
+    era: u64,
     _seat: Seat,
 }
 
@@ -82,6 +86,8 @@
 /// Connections to all backends.
 pub struct Pool {
     peers: RefCell<HashMap<BackendId, Peer>>,
+    /// The last era of any backend.
+    last_era: Cell<u64>,
     open: Rc<Cell<usize>>,
     most: Cell<usize>,
     /// The longest that a connection may stand idle, as told, and as far as it has proved to hold.
@@ -135,6 +141,7 @@
     pub fn new(setup: &Setup) -> Rc<Self> {
         Rc::new(Pool {
             peers: RefCell::default(),
+            last_era: Cell::new(0),
             open: Rc::default(),
             most: Cell::new(setup.alone.backends),
             retire: setup.idle_retire,
@@ -151,13 +158,26 @@
     /// Takes in a listed backend; connections to a process that is no more in service are dropped.
     pub fn set(&self, id: BackendId, address: SocketAddr, ready: bool, same_process: bool) {
         let mut peers = self.peers.borrow_mut();
-        let peer = peers.entry(id).or_insert(Peer { address, ready, idle: Vec::new() });
+        let new = || Peer { address, ready, era: self.next_era(), idle: Vec::new() };
+        let peer = peers.entry(id).or_insert_with(new);
         if !ready || !same_process || peer.address != address {
-            peer.idle.clear();
+            self.renew(peer);
         }
         (peer.address, peer.ready) = (address, ready);
     }
 
+    fn next_era(&self) -> u64 {
+        self.last_era.set(self.last_era.get() + 1);
+        self.last_era.get()
+    }
+
+    /// Lets go of all connections to a backend. Danger: attempts that are out hold some, too; these lead to the
+    /// process or the machine of before, and must not come back for the new one.
+    fn renew(&self, peer: &mut Peer) {
+        peer.idle.clear();
+        peer.era = self.next_era();
+    }
+
     /// A backend that is no longer listed. Attempts that are out there hold their own connections.
     pub fn forget(&self, id: BackendId) {
         self.peers.borrow_mut().remove(&id);
@@ -165,7 +185,7 @@
 
     pub fn close_idle(&self, id: BackendId) {
         if let Some(peer) = self.peers.borrow_mut().get_mut(&id) {
-            peer.idle.clear();
+            self.renew(peer);
         }
     }
 
@@ -187,8 +207,10 @@
         }
     }
 
-    fn ready(&self, id: BackendId) -> bool {
-        !self.barred.borrow().contains(&id) && self.peers.borrow().get(&id).is_some_and(|p| p.ready)
+    /// The era of a backend in service; `None` for one that is not.
+    fn era(&self, id: BackendId) -> Option<u64> {
+        let era = self.peers.borrow().get(&id).filter(|p| p.ready).map(|p| p.era);
+        era.filter(|_| !self.barred.borrow().contains(&id))
     }
 
     /// The most recently used idle connection: the others are left to retire.
@@ -233,18 +255,18 @@
     }
 
     async fn open(&self, id: BackendId) -> Result<Conn, Outcome> {
-        let address = self.peers.borrow().get(&id).ok_or(Outcome::Moot)?.address;
+        let (address, era) = self.peers.borrow().get(&id).map(|p| (p.address, p.era)).ok_or(Outcome::Moot)?;
         // Danger: want of a descriptor here is no news of the backend, which would be set aside for it.
         let seat = self.seat().ok_or(Outcome::Moot)?;
         match timeout(self.connect, Link::connect(address)).await {
-            Ok(Ok(link)) => Ok(Conn { link, _seat: seat }),
+            Ok(Ok(link)) => Ok(Conn { link, era, _seat: seat }),
             Ok(Err(e)) if matches!(e.raw_os_error(), Some(EMFILE | ENFILE)) => Err(Outcome::Moot),
             _ => Err(Outcome::ConnectFailed),
         }
     }
 
     pub fn put_back(&self, id: BackendId, conn: Conn) {
-        let keep = self.ready(id) && conn.link.usable();
+        let keep = self.era(id) == Some(conn.era) && conn.link.usable();
         if let Some(peer) = self.peers.borrow_mut().get_mut(&id).filter(|_| keep) {
             peer.idle.push((conn, Instant::now()));
         }
@@ -266,9 +288,11 @@
                 Ok(conn) => conn,
                 Err(outcome) => return outcome.into(),
             };
-            // Danger: the backend may have begun to drain while the connection was being made.
-            if !self.ready(id) {
-                return Outcome::Full.into();
+            // Danger: the backend may have begun to drain, or be elsewhere, since the connection was begun.
+            match self.era(id) {
+                None => return Outcome::Full.into(),
+                Some(era) if era != conn.era => continue,
+                Some(_) => {}
             }
             let request = message.request(left_ms);
             let (head, before) = (metered::head_length(&request), conn.link.written());
--- /dev/null
+++ b/node/tests/connections.rs
@@ -0,0 +1,73 @@
+//! Connections to backends whose ends cross with other events. Each test makes one bad order happen every time.
+
+mod common;
+
+use common::*;
+use std::sync::mpsc::{channel, Sender};
+use std::sync::Mutex;
+
+struct Scene {
+    gateway: Gateway,
+    discovery: Discovery,
+    _counter: Fake,
+}
+
+fn scene(entries: Vec<String>, changes: &'static [(&'static str, &'static str)]) -> Scene {
+    let (discovery, counter) = (Discovery::start(entries), counter());
+    let start = Start { changes, ..Start::default() };
+    let gateway = Gateway::start(&start, discovery.fake.address, counter.address);
+    discovery.settled();
+    Scene { gateway, discovery, _counter: counter }
+}
+
+/// A backend that answers a request with a name once it is told to.
+fn holding(name: &'static str) -> (Fake, Sender<()>) {
+    let (go, wait) = channel();
+    let wait = Mutex::new(wait);
+    let fake = Fake::start(move |_| {
+        wait.lock().expect("unpoisoned").recv_timeout(LONG).expect("the test goes on");
+        ok(name)
+    });
+    (fake, go)
+}
+
+const LATE: &[(&str, &str)] = &[("\"connect_timeout_us\":250000", "\"connect_timeout_us\":5000000")];
+
+/// Guards against a connection of the process before being used for the one that has come in its place: an
+/// attempt ends well after its backend was told to have restarted or moved, and its connection is done with.
+#[test]
+fn a_connection_from_before_a_restart_is_not_used_after_it() {
+    for moves in [false, true] {
+        let ((old, go), new) = (holding("old"), Fake::start(|_| ok("new")));
+        let scene = scene(vec![entry("s-0", old.address, "SERVING")], &[]);
+        let (mut first, mut second) = (scene.gateway.client(), scene.gateway.client());
+        first.send(&request("orden-nueva", 7, 3000));
+        assert_eq!(old.next().conn, 0);
+        let (address, since) = if moves { (new.address, 0) } else { (old.address, 1) };
+        scene.discovery.set(vec![entry_since("s-0", address, "SERVING", since)]);
+        scene.discovery.settled();
+        go.send(()).expect("the backend waits");
+        assert_eq!(first.answer().expect("an answer").body, b"old");
+        second.send(&request("orden-nueva", 7, 3000));
+        if moves {
+            assert_eq!(second.answer().expect("an answer").body, b"new");
+        } else {
+            assert_eq!(old.next().conn, 1, "the old process's connection is used for the new one");
+        }
+    }
+}
+
+/// Guards against the same while a connection is being made: the one that comes up leads to the old place.
+#[test]
+fn a_connection_to_where_a_backend_no_longer_is_carries_nothing() {
+    let (old, new) = (Mute::start(), Fake::start(|_| ok("new")));
+    let scene = scene(vec![entry("s-0", old.address, "SERVING")], LATE);
+    let mut client = scene.gateway.client();
+    client.send(&request("orden-nueva", 7, 4000));
+    while scene.gateway.figures()["in_progress"] != 1 {}
+    scene.discovery.set(vec![entry("s-0", new.address, "SERVING")]);
+    scene.discovery.settled();
+    let old = old.open(|_| ok("old"));
+    assert_eq!(client.answer().expect("an answer").body, b"new");
+    assert_eq!(old.seen.try_iter().count(), 0);
+}
