Tell a backend the time that is left as its request is written, not as its connection is begun

Seen (node/tests/connections.rs, fails without the fix): a connection that came up 1.03 s late carried 3,980 ms as left of 4,000. Cause: driver.rs, send took left_ms before the connection was made. The attempt now gets the moment until which its answer is waited for.

--- a/node/src/backend.rs
+++ b/node/src/backend.rs
@@ -273,8 +273,8 @@
     }
 
     /// One attempt: the message goes once, over one connection. Dropping the future closes that
-    /// connection, which is how an attempt is given up.
-    pub async fn attempt(self: &Rc<Self>, id: BackendId, message: &Message, left_ms: u64) -> Finish {
+    /// connection, which is how an attempt is given up. Its answer is waited for until `last`.
+    pub async fn attempt(self: &Rc<Self>, id: BackendId, message: &Message, last: Instant) -> Finish {
         // What can be sent once takes no chance with a connection that may have died unseen.
         let once = matches!(message.body, Payload::Coming(_));
         let mut reused = if once { None } else { self.reuse(id) };
@@ -294,7 +294,7 @@
                 Some(era) if era != conn.era => continue,
                 Some(_) => {}
             }
-            let request = message.request(left_ms);
+            let request = message.request(last.saturating_duration_since(Instant::now()));
             let (head, before) = (metered::head_length(&request), conn.link.written());
             let length = || message.body.framed().map(|body| head + body);
             match (&message.body, length()) {
@@ -466,7 +466,7 @@
         matches!(&self.body, Payload::Coming(source) if source.begun())
     }
 
-    fn request(&self, left_ms: u64) -> Request<Outbound> {
+    fn request(&self, left: Duration) -> Request<Outbound> {
         let (body, length) = match &self.body {
             Payload::Whole { body, .. } => (Either::Left(Full::new(body.clone())), Some(body.len() as u64)),
             Payload::Coming(source) => (Either::Right(Upload::new(source.clone())), source.length),
@@ -476,6 +476,7 @@
         *request.uri_mut() = self.target.clone();
         let headers = request.headers_mut();
         headers.clone_from(&self.headers);
+        let left_ms = left.as_micros().div_ceil(1000) as u64;
         headers.insert("x-time-left-ms", left_ms.into());
         match length {
             Some(length) if self.method == Method::POST => {
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -514,10 +514,10 @@
         if let Some(limit) = limit {
             core.timers.insert((now + limit, Due::Attempt(id, attempt)));
         }
-        let left_ms = (open.deadline - now).div_ceil(1000);
+        let last = self.0.clock.instant(open.deadline);
         let (driver, message) = (self.clone(), open.message.clone());
         let task = tokio::task::spawn_local(async move {
-            let finish = driver.0.pool.attempt(backend, &message, left_ms).await;
+            let finish = driver.0.pool.attempt(backend, &message, last).await;
             let mut core = driver.0.core.borrow_mut();
             let now = driver.0.clock.now();
             driver.end(&mut core, now, id, attempt, finish);
