Use a connection again only once a late second answer to its last request would have shown

Shown with real sockets (node/tests/connections.rs, fails without the fix): where the next request is written before, it gets the answer to the one before it.

Cause: backend.rs, reuse() asked whether anything unasked for has come, not whether it still may. A connection now settles for 10 ms, twice what was seen, before it is used again; other idle ones or a new one serve meanwhile.

Harmless: bytes behind an answer that have come by then (usable() sees them), and the counter's connections (an answer there that is followed by more ends its connection unread or is found the same way: calls are seconds apart).

--- a/node/src/backend.rs
+++ b/node/src/backend.rs
@@ -26,6 +26,9 @@
 /// go after a tenth of a second; a break after less idleness than this has another reason.
 const LEAST_IDLE: Duration = Duration::from_millis(20);
 const REGAIN: f64 = 1.1;
+/// A connection is not used again sooner after its last answer. Danger: an answer names no request, and a second
+/// one to the last request, which was seen to come up to 4 ms after it, would be taken for the next one's.
+const SETTLE: Duration = Duration::from_millis(10);
 /// A figure above this in a load report can't be read for what it is.
 const MOST_LOAD: f32 = 1e6;
 /// This process, and this machine, is out of descriptors.
@@ -213,11 +216,12 @@
         era.filter(|_| !self.barred.borrow().contains(&id))
     }
 
-    /// The most recently used idle connection: the others are left to retire.
+    /// The most recently used idle connection that has settled: the others are left to retire.
     fn reuse(&self, id: BackendId) -> Option<(Conn, Duration)> {
         let mut peers = self.peers.borrow_mut();
         let idle = &mut peers.get_mut(&id)?.idle;
-        while let Some((conn, since)) = idle.pop() {
+        while let Some(at) = idle.iter().rposition(|(_, since)| since.elapsed() >= SETTLE) {
+            let (conn, since) = idle.remove(at);
             let idle = since.elapsed();
             if conn.link.usable() && idle < self.holds.get() {
                 return Some((conn, idle));
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -15,6 +15,9 @@
 /// Long enough for any busy machine; only a failing test waits for all of it.
 pub const LONG: Duration = Duration::from_secs(20);
 
+/// A connection to a backend may be used again this long after its last answer.
+pub const SETTLED: Duration = Duration::from_millis(15);
+
 /// A message as it came.
 #[derive(Debug, Clone)]
 pub struct Seen {
--- a/node/tests/connections.rs
+++ b/node/tests/connections.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::*;
+use std::collections::HashMap;
 use std::sync::mpsc::{channel, Sender};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
@@ -90,3 +91,26 @@
     assert!(gone > Duration::from_millis(100), "it came up at once: {gone:?}");
     assert!(Duration::from_millis(left) + gone < Duration::from_millis(4050), "{left} ms after {gone:?}");
 }
+
+/// Guards against a second answer to one request that is taken for the answer to the next: it comes up to 4 ms
+/// after the first, on a connection that looked well when it was used again.
+#[test]
+fn a_second_answer_that_comes_late_is_no_answer_to_the_next_request() {
+    const LATE: Duration = Duration::from_millis(4);
+    let last: Mutex<HashMap<usize, (String, Instant)>> = Mutex::default();
+    let backend = Fake::start(move |seen| {
+        let id = seen.header("x-correlation-id").expect("an id").to_owned();
+        let mut last = last.lock().expect("unpoisoned");
+        let before = last.insert(seen.conn, (id.clone(), Instant::now()));
+        // On its way as this request was written.
+        let second = before.filter(|(_, at)| at.elapsed() < LATE).map(|(id, _)| answer("200 OK", "", &id));
+        Reaction::Answer(second.unwrap_or_default() + &answer("200 OK", "", &id))
+    });
+    let scene = scene(vec![entry("s-0", backend.address, "SERVING")], &[]);
+    let mut client = scene.gateway.client();
+    for _ in 0..40 {
+        let text = request("orden-nueva", 7, 3000);
+        let got = String::from_utf8(client.ask(&text).body).expect("an id");
+        assert!(text.contains(&format!("x-correlation-id: {got}\r\n")), "the answer to {got} for {text}");
+    }
+}
--- a/node/tests/gateway.rs
+++ b/node/tests/gateway.rs
@@ -420,6 +420,7 @@
     let mut client = scene.gateway.client();
     for _ in 0..10 {
         assert_eq!(client.ask(&request("orden-nueva", 7, 2000)).status(), 200);
+        std::thread::sleep(SETTLED);
     }
     assert_eq!(backend.connections.load(Ordering::SeqCst), 1);
     closing.store(true, Ordering::SeqCst);
