Break off an answer that does not end, in its request's time and at a restart

Seen (node/tests/flow.rs, both fail without the fix): an answer in chunks of which one comes and no more was passed on after 25 ms and then stood open for 15 s, until the client was taken to be stuck; at a restart it held the process for 15 s, well past SIGKILL, where its client finds no end.

Cause: flow.rs, Flow had no time of its own, and an attempt's deadline ends with the head that is passed on; main.rs waits for answers that flow. Ruled out as a cause: an answer of a known length under 64 KiB is held whole, and ends with its attempt (the deadline's timer aborts it).

Now one that is short as far as is known breaks off at the end of its request's time, so that its client can tell; a long one (over 64 KiB, by its head or by what has come) goes on for as long as something comes every 2 s, to 40 MiB. At a restart, what has stood still for 0.2 s by the last moment for answers is cut. An endless stream that keeps coming past 64 KiB can't be told from a long answer before 40 MiB.

--- a/node/src/backend.rs
+++ b/node/src/backend.rs
@@ -278,7 +278,7 @@
 
     /// One attempt: the message goes once, over one connection. Dropping the future closes that
     /// connection, which is how an attempt is given up. Its answer is waited for until `last`.
-    pub async fn attempt(self: &Rc<Self>, id: BackendId, message: &Message, last: Instant) -> Finish {
+    pub async fn attempt(self: &Rc<Self>, id: BackendId, message: &Message, last: &Cell<Instant>) -> Finish {
         // What can be sent once takes no chance with a connection that may have died unseen.
         let once = matches!(message.body, Payload::Coming(_));
         let mut reused = if once { None } else { self.reuse(id) };
@@ -298,7 +298,7 @@
                 Some(era) if era != conn.era => continue,
                 Some(_) => {}
             }
-            let request = message.request(last.saturating_duration_since(Instant::now()));
+            let request = message.request(last.get().saturating_duration_since(Instant::now()));
             let (head, before) = (metered::head_length(&request), conn.link.written());
             let length = || message.body.framed().map(|body| head + body);
             match (&message.body, length()) {
@@ -310,7 +310,9 @@
             }
             match conn.link.send(request, length).await {
                 Ok(answer) => {
-                    return self.read(id, conn, answer, true, || message.body.framed().is_some()).await
+                    return self
+                        .read(id, conn, answer, Some(last.get()), || message.body.framed().is_some())
+                        .await
                 }
                 Err(Broken { written: true }) => {
                     // Danger: some let go of an idle connection sooner than they say, and unseen; what is
@@ -326,13 +328,13 @@
     }
 
     /// Reads an answer: to its end where it is small, else its beginning, with the rest to flow. A spoilt one
-    /// may have run. `sent` tells whether all of the request has gone: the connection is of no use before.
+    /// may have run. One that flows has to end by `flows`. `sent` tells whether all of the request has gone: the connection is of no use before.
     async fn read(
         self: &Rc<Self>,
         id: BackendId,
         conn: Conn,
         answer: Response<Incoming>,
-        flows: bool,
+        flows: Option<Instant>,
         sent: impl Fn() -> bool,
     ) -> Finish {
         let (mut head, body) = answer.into_parts();
@@ -342,11 +344,11 @@
         if length.is_some_and(|n| n > MOST_BODY) || head.status.is_informational() {
             return Finish { load, ..Outcome::Reset.into() };
         }
-        let flows = flows && head.status == StatusCode::OK;
+        let flows = flows.filter(|_| head.status == StatusCode::OK);
         let small = length.is_none_or(|n| n <= SMALL as u64);
         let most = length.and_then(|n| usize::try_from(n).ok()).unwrap_or(SMALL);
         let held = if small { self.bodies.take(most) } else { None };
-        let until = (flows && length.is_none()).then(|| Instant::now() + GATHER);
+        let until = flows.filter(|_| length.is_none()).map(|_| Instant::now() + GATHER);
         let body = match held {
             Some(_) => gather(body, until).await,
             None => Gathered::Part(Bytes::new(), body),
@@ -369,12 +371,13 @@
                 }
                 Either::Left(Full::new(body))
             }
-            Gathered::Part(first, rest) if flows => {
-                Either::Right(Flow::new(first, rest, self.clone(), id, conn))
-            }
-            // What an answer that is none of ours to pass on has to say is not waited for.
-            Gathered::Part(..) if outcome != Outcome::Ok => Either::Left(Full::default()),
-            Gathered::Part(..) | Gathered::Broken => return Finish { load, ..Outcome::Reset.into() },
+            Gathered::Part(first, rest) => match flows {
+                Some(last) => Either::Right(Flow::new(first, rest, last, (self.clone(), id, conn))),
+                // What an answer that is none of ours to pass on has to say is not waited for.
+                None if outcome != Outcome::Ok => Either::Left(Full::default()),
+                None => return Finish { load, ..Outcome::Reset.into() },
+            },
+            Gathered::Broken => return Finish { load, ..Outcome::Reset.into() },
         };
         let answer = (outcome == Outcome::Ok).then(|| Response::from_parts(head, body));
         Finish { outcome, load, billed, answer }
@@ -398,7 +401,7 @@
                 Err(Broken { written: true }) => return Outcome::Reset.into(),
                 Err(_) => return Outcome::ConnectFailed.into(),
             };
-            let mut finish = self.read(id, conn, answer, false, || true).await;
+            let mut finish = self.read(id, conn, answer, None, || true).await;
             let report = finish.answer.take().filter(|_| finish.load.len == 0);
             if let Some(Either::Left(report)) = report.map(|r| r.into_body()) {
                 let text = report.collect().await.map(|b| b.to_bytes()).unwrap_or_default();
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -17,6 +17,7 @@
 use std::rc::Rc;
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
+use tokio::time::Instant;
 
 /// Requests open at once; further ones are refused unseen.
 const MOST_OPEN: usize = 4096;
@@ -72,6 +73,8 @@
     /// Gone once the request has its final answer.
     reply: Option<oneshot::Sender<Reply>>,
     deadline: Micros,
+    /// The same, for those at work on it.
+    last: Rc<Cell<Instant>>,
     /// When its last byte had come; 0: it is still coming.
     whole: Micros,
     attempts: u8,
@@ -247,7 +250,8 @@
         };
         let (reply, answer) = oneshot::channel();
         let (name, message) = (terms.id, Rc::new(message));
-        let open = Open { name, message, reply: Some(reply), deadline, whole, attempts: 0, out: Vec::new() };
+        let (reply, last) = (Some(reply), Rc::new(Cell::new(self.0.clock.instant(deadline))));
+        let open = Open { name, message, reply, deadline, last, whole, attempts: 0, out: Vec::new() };
         core.requests.insert(id, open);
         core.timers.insert((deadline, Due::Deadline(id)));
         core.events.push_back(Event::Request(Arrival {
@@ -281,6 +285,7 @@
         let wanted = now + wait.saturating_sub(DEADLINE_MARGIN);
         let deadline = self.0.closing.get().map_or(wanted, |last| wanted.min(last));
         let before = std::mem::replace(&mut open.deadline, deadline);
+        open.last.set(self.0.clock.instant(deadline));
         open.whole = now;
         core.timers.remove(&(before, Due::Deadline(id)));
         core.timers.insert((deadline, Due::Deadline(id)));
@@ -514,10 +519,9 @@
         if let Some(limit) = limit {
             core.timers.insert((now + limit, Due::Attempt(id, attempt)));
         }
-        let last = self.0.clock.instant(open.deadline);
-        let (driver, message) = (self.clone(), open.message.clone());
+        let (driver, message, last) = (self.clone(), open.message.clone(), open.last.clone());
         let task = tokio::task::spawn_local(async move {
-            let finish = driver.0.pool.attempt(backend, &message, last).await;
+            let finish = driver.0.pool.attempt(backend, &message, &last).await;
             let mut core = driver.0.core.borrow_mut();
             let now = driver.0.clock.now();
             driver.end(&mut core, now, id, attempt, finish);
--- a/node/src/flow.rs
+++ b/node/src/flow.rs
@@ -9,18 +9,25 @@
 use http_body_util::{BodyExt, Either, Full};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{sleep_until, timeout_at, Instant, Sleep};
 
 /// A body up to this long is held whole, so that it can be sent again.
 pub const SMALL: usize = 64 * 1024;
 /// A body longer than this is none that may come.
 pub const MOST_BODY: u64 = 40 << 20;
 
+/// A long answer of which nothing has come for so long, past its request's time, comes no more: what is held back
+/// for 2 s is lost.
+const STALLED: Duration = Duration::from_secs(2);
+
+pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
+
 /// What a request is sent with, and what an answer is passed on with.
 pub type Outbound = Either<Full<Bytes>, Upload>;
 pub type Answered = Either<Full<Bytes>, Flow>;
@@ -303,11 +310,26 @@
     first: Option<Bytes>,
     rest: Incoming,
     conn: Option<(Rc<Pool>, BackendId, Conn)>,
+    /// It is long, as far as is known: then it may take longer than its request's time.
+    long: bool,
+    come: u64,
+    /// When it breaks off if no more has come: first at the end of its request's time.
+    last: Instant,
+    breaks: Pin<Box<Sleep>>,
+    waits: bool,
 }
 
 impl Flow {
-    pub fn new(first: Bytes, rest: Incoming, pool: Rc<Pool>, id: BackendId, conn: Conn) -> Self {
-        Flow { first: Some(first).filter(|f| !f.is_empty()), rest, conn: Some((pool, id, conn)) }
+    pub fn new(
+        first: Bytes,
+        rest: Incoming,
+        last: Instant,
+        (pool, id, conn): (Rc<Pool>, BackendId, Conn),
+    ) -> Self {
+        let long = rest.size_hint().exact().is_some();
+        let (come, breaks) = (first.len() as u64, Box::pin(sleep_until(last)));
+        let (first, conn) = (Some(first).filter(|f| !f.is_empty()), Some((pool, id, conn)));
+        Flow { first, rest, conn, long, come, last, breaks, waits: false }
     }
 
     fn release(&mut self) {
@@ -315,30 +337,56 @@
             pool.put_back(id, conn);
         }
     }
+
+    /// Whether it is waited for in vain. Danger: a short one that does not end in its request's time never
+    /// may; a long one takes what time it takes for as long as more of it comes.
+    fn overdue(&mut self, cx: &mut Context<'_>) -> bool {
+        if !std::mem::replace(&mut self.waits, true) && self.long {
+            let until = self.last.max(Instant::now() + STALLED);
+            self.breaks.as_mut().reset(until);
+        }
+        self.breaks.as_mut().poll(cx).is_ready()
+    }
+
+    fn count(&mut self, come: usize) -> bool {
+        self.waits = false;
+        self.come += come as u64;
+        self.long |= self.come > SMALL as u64;
+        self.come <= MOST_BODY
+    }
 }
 
 impl Body for Flow {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = BoxError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
         if let Some(first) = self.first.take() {
             return Poll::Ready(Some(Ok(Frame::data(first))));
         }
         loop {
             let next = Pin::new(&mut self.rest).poll_frame(cx);
-            match next {
+            let in_bounds = match &next {
+                Poll::Pending => !self.overdue(cx),
+                Poll::Ready(Some(Ok(frame))) => self.count(frame.data_ref().map_or(0, Bytes::len)),
+                Poll::Ready(_) => true,
+            };
+            if !in_bounds {
+                self.conn = None;
+                return Poll::Ready(Some(Err("an answer that does not end".into())));
+            }
+            match &next {
                 // Trailers are for the backend's connection.
                 Poll::Ready(Some(Ok(frame))) if frame.is_trailers() => continue,
                 Poll::Ready(None) => self.release(),
-                Poll::Ready(Some(Err(_))) => drop(self.conn.take()),
+                Poll::Ready(Some(Err(_))) => self.conn = None,
                 Poll::Ready(Some(Ok(_))) if self.rest.is_end_stream() => self.release(),
                 _ => {}
             }
-            return next;
+            return next.map_err(BoxError::from);
         }
     }
 
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -139,6 +139,10 @@
         // answer; the longer one has been idle, the less likely it is that one crosses its end.
         let idle = if began.elapsed() < BY_ANSWER { LONG_IDLE } else { Duration::ZERO };
         server.close_idle(idle);
+        // Danger: an answer that never ends would hold this process until SIGKILL, and its client for longer.
+        if began.elapsed() >= last_answer {
+            server.cut_stuck(LAST_BYTES);
+        }
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     others.end().await;
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -4,7 +4,7 @@
 use crate::backend::{strip_hop_by_hop, Message, Payload};
 use crate::driver::{Reply, Shared};
 use crate::figures::{Ending, Figures, Taken};
-use crate::flow::{gather, Flow, Gathered, Pace, Source, SMALL};
+use crate::flow::{gather, BoxError, Flow, Gathered, Pace, Source, SMALL};
 use crate::metered::{Meter, Metered, HEAD_BYTES};
 use bytes::Bytes;
 use caperwind::ClassIx;
@@ -100,13 +100,13 @@
         self.since.get().elapsed() >= may
     }
 
-    /// Whether its answer has stood still for long.
-    fn stuck(&self) -> bool {
+    /// Whether its answer has stood still for so long.
+    fn stuck(&self, for_long: Duration) -> bool {
         let (written, at) = self.wrote.get();
         if self.meter.written() != written {
             self.wrote.set((self.meter.written(), Instant::now()));
         }
-        self.meter.written() == written && at.elapsed() >= STUCK
+        self.meter.written() == written && at.elapsed() >= for_long
     }
 
     /// Nothing has been read since the phase began.
@@ -186,12 +186,12 @@
 
 impl Body for Outgoing {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = BoxError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
         let next = Pin::new(&mut self.flow).poll_frame(cx);
         match &next {
             Poll::Ready(Some(Err(_))) => self.end(Ending::Failed),
@@ -251,6 +251,13 @@
         self.guests.borrow().values().any(|g| g.phase.get() == Phase::Reply)
     }
 
+    /// Breaks off the answers that have stood still for so long.
+    pub fn cut_stuck(&self, for_long: Duration) {
+        let guests = self.guests.borrow();
+        let replies = guests.values().filter(|g| g.phase.get() == Phase::Reply);
+        replies.filter(|g| g.stuck(for_long)).for_each(|g| g.cut());
+    }
+
     /// Connections held.
     pub fn held(&self) -> usize {
         self.guests.borrow().len()
@@ -339,7 +346,7 @@
                     // Danger: the library reads no further than a request that is in work; whose client has
                     // left is then sent on for nobody.
                     Phase::Body | Phase::Work if guest.meter.hung_up() => guest.cut(),
-                    Phase::Reply if guest.stuck() => guest.cut(),
+                    Phase::Reply if guest.stuck(STUCK) => guest.cut(),
                     Phase::Idle if !guest.untouched() => guest.enter(Phase::Coming),
                     // An answer that is not read either.
                     Phase::Idle if age >= 2 * IDLE_WAIT => guest.cut(),
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -579,6 +579,13 @@
         taken
     }
 
+    /// What comes next, as it comes; `None` where the connection broke.
+    pub fn rest(&mut self) -> Option<Vec<u8>> {
+        let come = self.from.fill_buf().ok()?.to_vec();
+        self.from.consume(come.len());
+        Some(come)
+    }
+
     pub fn answer(&mut self) -> Option<Seen> {
         read_message(&mut self.from, 0)
     }
--- a/node/tests/flow.rs
+++ b/node/tests/flow.rs
@@ -5,6 +5,7 @@
 use common::*;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 fn gateway(backends: &[&Fake], memory_mb: u32) -> (Gateway, Discovery, Fake) {
     let entries = backends.iter().enumerate().map(|(i, b)| entry(&format!("s-{i}"), b.address, "SERVING"));
@@ -144,3 +145,46 @@
         while gateway.figures()["bad_gateway"]["consulta"] != 1 {}
     }
 }
+
+/// An answer in chunks of which one comes, and no more.
+const ENDLESS: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n";
+
+/// Whether what is left to read is the beginning of an answer and no more.
+fn breaks_off(client: &mut Client) -> bool {
+    loop {
+        match client.rest() {
+            Some(rest) if rest.ends_with(b"0\r\n\r\n") => return false,
+            Some(rest) if !rest.is_empty() => continue,
+            _ => return true,
+        }
+    }
+}
+
+/// Guards against an answer without end that is passed on without end: it breaks off as its request's time is up.
+#[test]
+fn an_answer_that_does_not_end_breaks_off_in_the_request_s_time() {
+    let backend = Fake::start(|_| Reaction::Answer(ENDLESS.to_owned()));
+    let (gateway, _discovery, _counter) = gateway(&[&backend], 64);
+    let began = Instant::now();
+    let mut client = gateway.client();
+    client.send(&request("consulta", 7, 900));
+    assert!(breaks_off(&mut client), "passed on as if whole");
+    let took = began.elapsed();
+    assert!(took < Duration::from_millis(1400), "{took:?}");
+    backend.ended.recv_timeout(LONG).expect("the attempt's connection is closed");
+}
+
+/// Guards against the same at a restart: nobody is left waiting for SIGKILL.
+#[test]
+fn an_answer_that_does_not_end_does_not_hold_up_a_restart() {
+    let backend = Fake::start(|_| Reaction::Answer(ENDLESS.to_owned()));
+    let (mut gateway, _discovery, _counter) = gateway(&[&backend], 64);
+    let mut client = gateway.client();
+    client.send(&request("orden-nueva", 7, 5000));
+    assert_eq!(client.line(), "HTTP/1.1 200 OK");
+    let told = Instant::now();
+    gateway.terminate();
+    assert!(breaks_off(&mut client), "passed on as if whole");
+    assert!(gateway.wait().success());
+    assert!(told.elapsed() < Duration::from_millis(3700), "{:?}", told.elapsed());
+}
