Accept until nobody is left at a restart, and answer what stands in the listener's line

Seen (node/tests/restart.rs, two tests fail without the fix): 0.7 s after SIGTERM new connections were refused although one with work kept the process for seconds; connections that came up while the process could not run (it is stopped and goes on) were reset unheard as the listener was closed at that moment.

Cause: main.rs, accept.abort() after STILL_ACCEPT dropped the listener with its line, and with it a connection that waited in room(). Now the process accepts until nothing is left to do, then the kernel is asked for what it still holds, and only then the listener ends. Where another process of this gateway goes on with it, the line is left to that one, and a connection that waits for its place is heard first.

Orders looked at and harmless, with tests that passed before: SIGTERM as soon as somebody can connect, SIGHUP before or after it, SIGTERM twice; an upload, held answers, connections that do not come up, silent discovery and counter under SIGTERM. A request that crosses close_idle has not been read: its client sends it once more. SIGHUP after SIGTERM is not read: what the new discovery tells counts 4 s later, when this process is gone.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -95,13 +95,14 @@
     tokio::task::spawn_local(server.clone().watch());
     tokio::task::spawn_local(share(alone, paired, others.clone(), server.clone(), pool, counter.clone()));
     let (first, accepts, serving) = (driver.clone(), server.clone(), others.clone());
+    let (stop, last) = watch::channel(false);
     let accept = tokio::task::spawn_local(async move {
         // Another process serves: there is time to hear what discovery says now.
         if serving.paired() {
             let _ = tokio::time::timeout(FIRST_LIST, first.told()).await;
         }
         serving.tell(&Word::Serving);
-        accepts.accept(listener).await;
+        accepts.accept(listener, last).await;
     });
     eprintln!("{}: listening on {}", setup.name, setup.listen);
 
@@ -127,14 +128,20 @@
     if others.succeeded() {
         // What still comes is the other process's.
         server.succeeded();
-        accept.abort();
+        stop.send_replace(true);
     }
     // Danger: the front goes on opening connections for a while, and what comes on them is taken.
     tokio::time::sleep(STILL_ACCEPT).await;
-    accept.abort();
     // What a backend is still giving is passed on to the end, or as far as SIGKILL lets it.
     let in_time = || began.elapsed() < last_answer + LAST_BYTES || server.flowing();
-    while !(driver.idle() && server.empty()) && in_time() {
+    while in_time() {
+        if driver.idle() && server.empty() {
+            if accept.is_finished() {
+                break;
+            }
+            // What stands in the listener's line by now is the last that comes.
+            stop.send_replace(true);
+        }
         // Danger: a request may be on its way on any connection that is open. Those in use are closed by an
         // answer; the longer one has been idle, the less likely it is that one crosses its end.
         let idle = if began.elapsed() < BY_ANSWER { LONG_IDLE } else { Duration::ZERO };
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -15,15 +15,17 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
+use socket2::{SockRef, Socket};
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
+use std::io;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
+use tokio::sync::{watch, Notify};
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout, Instant};
 
@@ -217,6 +219,12 @@
     }
 }
 
+/// A connection that was accepted apart from the runtime.
+fn take(socket: Socket) -> io::Result<TcpStream> {
+    socket.set_nonblocking(true)?;
+    TcpStream::from_std(socket.into())
+}
+
 fn plain(status: StatusCode, text: &'static str) -> Answer {
     let mut answer = Response::new(Either::Left(Full::new(Bytes::from_static(text.as_bytes()))));
     *answer.status_mut() = status;
@@ -276,13 +284,31 @@
         idle.filter(|g| g.nothing_begun()).for_each(|g| g.dismiss());
     }
 
-    /// Accepts for as long as the program runs.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+    /// Accepts until it is told that it was the last. Danger: a connection that has come is owed an answer, also
+    /// one that waits for its place or in the listener's line, which ends with the listener: it is emptied, unless
+    /// another process goes on with it.
+    pub async fn accept(self: Rc<Self>, listener: TcpListener, mut last: watch::Receiver<bool>) {
         let mut logged: Option<Instant> = None;
         self.open.set(true);
         loop {
-            let trouble = match listener.accept().await {
-                Ok((stream, _)) if self.room().await => {
+            let stops = *last.borrow();
+            let come = if stops && self.succeeded.get() {
+                return;
+            } else if stops {
+                // The runtime may not have been told yet of one that the kernel holds: the kernel is asked.
+                match SockRef::from(&listener).accept() {
+                    Ok((socket, _)) => take(socket),
+                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                    Err(e) => Err(e),
+                }
+            } else {
+                tokio::select! {
+                    come = listener.accept() => come.map(|(stream, _)| stream),
+                    _ = last.changed() => continue,
+                }
+            };
+            let trouble = match come {
+                Ok(stream) if self.room().await => {
                     self.welcome(stream);
                     continue;
                 }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -498,6 +498,18 @@
         Client::over(TcpStream::connect(self.address).expect("the gateway accepts"))
     }
 
+    /// A connection as soon as there is one who listens.
+    pub fn first_client(&self) -> Client {
+        let until = Instant::now() + LONG;
+        loop {
+            if let Ok(stream) = TcpStream::connect(self.address) {
+                return Client::over(stream);
+            }
+            assert!(Instant::now() < until, "nobody listens: {}", self.log());
+            std::thread::yield_now();
+        }
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
--- /dev/null
+++ b/node/tests/restart.rs
@@ -0,0 +1,144 @@
+//! SIGTERM at a bad moment. Each test makes one bad order happen every time: whatever was taken gets its one final
+//! answer, and the process ends by itself, well.
+
+mod common;
+
+use common::*;
+use std::sync::mpsc::{channel, Sender};
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+/// SIGKILL comes no sooner after SIGTERM, with a longest deadline of 3 s or more.
+const KILL: Duration = Duration::from_millis(3_700);
+
+struct Scene {
+    gateway: Gateway,
+    discovery: Discovery,
+    counter: Fake,
+}
+
+fn scene(start: &Start, entries: Vec<String>) -> Scene {
+    let (discovery, counter) = (Discovery::start(entries), counter());
+    let gateway = Gateway::start(start, discovery.fake.address, counter.address);
+    discovery.settled();
+    Scene { gateway, discovery, counter }
+}
+
+fn one(backend: &Fake) -> Vec<String> {
+    vec![entry("s-0", backend.address, "SERVING")]
+}
+
+/// A backend that answers once it is told to.
+fn holding() -> (Fake, Sender<()>) {
+    let (go, wait) = channel();
+    let wait = Mutex::new(wait);
+    let fake = Fake::start(move |_| {
+        let _ = wait.lock().expect("unpoisoned").recv_timeout(LONG);
+        ok("x")
+    });
+    (fake, go)
+}
+
+fn ends_well(gateway: &mut Gateway, told: Instant) {
+    assert!(gateway.wait().success());
+    assert!(told.elapsed() < KILL, "{:?}", told.elapsed());
+}
+
+/// Guards against connections that are let in and never heard, as the process stops to accept: they come for as
+/// long as there is one that has work, and each is answered.
+#[test]
+fn connections_are_answered_for_as_long_as_they_come() {
+    let (backend, go) = holding();
+    let mut scene = scene(&Start::default(), one(&backend));
+    let mut first = scene.gateway.client();
+    first.send(&request("orden-nueva", 7, 5000));
+    backend.next();
+    let told = Instant::now();
+    scene.gateway.terminate();
+    let mut served = 0;
+    // Well past the time for which the front goes on.
+    while told.elapsed() < Duration::from_millis(1_500) {
+        let mut client = scene.gateway.client();
+        client.send("GET /healthz HTTP/1.1\r\nhost: t\r\n\r\n");
+        assert!(client.answer().is_some(), "unheard {:?} after SIGTERM", told.elapsed());
+        served += 1;
+    }
+    assert!(served > 0);
+    go.send(()).expect("the backend waits");
+    assert_eq!(first.answer().expect("an answer").status(), 200);
+    ends_well(&mut scene.gateway, told);
+}
+
+/// Guards against connections lost in the listener's line as the process ends: those that have come up while it
+/// could not run are accepted and answered before.
+#[test]
+fn connections_in_the_listener_s_line_are_answered() {
+    let backend = Fake::start(|_| ok("x"));
+    let mut scene = scene(&Start::default(), one(&backend));
+    let told = Instant::now();
+    scene.gateway.terminate();
+    while scene.gateway.health() == Some(200) {}
+    // It stands still from before it would stop to accept until after it.
+    scene.gateway.signal("-STOP");
+    let mut clients: Vec<Client> = (0..8).map(|_| scene.gateway.client()).collect();
+    clients.iter_mut().for_each(|c| c.send(&request("consulta", 7, 3000)));
+    std::thread::sleep(Duration::from_millis(900).saturating_sub(told.elapsed()));
+    scene.gateway.signal("-CONT");
+    for client in &mut clients {
+        assert_eq!(client.answer().expect("an answer").status(), 200);
+    }
+    ends_well(&mut scene.gateway, told);
+}
+
+/// Guards against signals that end the process, or are lost, at its start, together or twice.
+#[test]
+fn signals_at_the_start_together_and_twice() {
+    let backend = Fake::start(|_| ok("x"));
+    let (discovery, counter) = (Discovery::start(one(&backend)), counter());
+    for signals in [&["-TERM"][..], &["-HUP", "-TERM"], &["-TERM", "-HUP"], &["-TERM", "-TERM"]] {
+        let start = Start { known: Some(list(1, true, &one(&backend))), ..Start::default() };
+        let mut gateway = Gateway::launch(&start, discovery.fake.address, counter.address);
+        // Its handlers are in place before it listens.
+        let mut client = gateway.first_client();
+        let told = Instant::now();
+        signals.iter().for_each(|s| gateway.signal(s));
+        assert_eq!(client.ask(&request("consulta", 7, 3000)).status(), 200, "{signals:?}");
+        ends_well(&mut gateway, told);
+    }
+}
+
+/// Guards against an upload, a connection that does not come up, or silent peers keeping a restart from its end,
+/// and against what was taken meanwhile going without its answer.
+#[test]
+fn what_is_under_way_has_its_answer_before_the_end() {
+    let (holds, go) = holding();
+    let never = Mute::start();
+    let silent = Fake::start(|_| Reaction::Silence);
+    let entries = vec![entry("s-0", holds.address, "SERVING"), entry("s-1", never.address, "SERVING")];
+    let mut scene = scene(&Start { rate: 0.2, burst: 2.0, ..Start::default() }, entries);
+    let mut clients: Vec<Client> = (0..6)
+        .map(|n| {
+            let mut client = scene.gateway.client();
+            client.send(&request("orden-nueva", n, 5000));
+            client
+        })
+        .collect();
+    let mut upload = scene.gateway.client();
+    let text = request("orden-nueva", 9, 5000);
+    upload.send(&text.replace("content-length: 4\r\n\r\n{42}", "content-length: 200000\r\n\r\n"));
+    while scene.gateway.figures()["in_progress"] != 6 {}
+    // Discovery and counter fall silent just then.
+    scene.gateway.reload(silent.address, silent.address);
+    silent.next();
+    let told = Instant::now();
+    scene.gateway.terminate();
+    upload.send(&"y".repeat(200_000));
+    (0..3).for_each(|_| go.send(()).expect("the backend waits"));
+    for client in clients.iter_mut().chain([&mut upload]) {
+        let answer = client.answer().expect("an answer");
+        assert!(matches!(answer.status(), 200 | 503 | 504), "{answer:?}");
+        assert!(client.at_end());
+    }
+    ends_well(&mut scene.gateway, told);
+    drop((scene.discovery, scene.counter));
+}
