--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -364,7 +364,7 @@
     }
 
     /// News from discovery; true where the module has asked for the whole list.
-    pub fn backends_told(&self, list: List) -> bool {
+    pub fn backends_told(&self, list: List, _older: bool) -> bool {
         self.0.ready.set(true);
         self.0.told.notify_one();
         let kind = list_kind(&list);
@@ -372,8 +372,7 @@
         std::mem::take(&mut self.0.core.borrow_mut().refetch)
     }
 
-    pub fn backends_failed(&self, why: &str) {
-        eprintln!("discovery: {why}");
+    pub fn backends_failed(&self) {
         self.feed(Event::Backends { kind: ListKind::Failed, version: 0, rows: Vec::new() });
     }
 
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -254,6 +254,13 @@
         self.list.1.notify_all();
     }
 
+    /// Puts another list in its place, of whatever version; the next watch is told.
+    pub fn replace(&self, index: u64, entries: Vec<String>) {
+        let mut now = self.list.0.lock().expect("unpoisoned");
+        (now.index, now.entries) = (index, entries);
+        self.list.1.notify_all();
+    }
+
     /// Answers one call with what is no list.
     pub fn babble(&self) {
         self.list.0.lock().expect("unpoisoned").rubbish = true;
