Let no older list bring back a backend that was told to drain or to go

Cause: discovery.rs dropped changes that had gone back in their version but took any whole list, and driver.rs replaced by it what was held. A whole list that has gone back, or is the first of another agent, may be older: in it, what is told to serve of a process that was told to drain or go is passed over; one that has started since is used, and so is what a later change takes back. What such a list leaves out is gone all the same, which sends nothing anywhere wrong.

Orders looked at and harmless: an answer on a connection that was given up (closed with its call, never read); a change of an old version (dropped, the whole list is asked for); half a list, rubbish and an indented one (a test).

--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -5,7 +5,7 @@
 use crate::backend::{Finish, Message, Payload, Pool};
 use crate::clock::Clock;
 use crate::counter::Counter;
-use crate::discovery::{list_kind, Endpoint, List};
+use crate::discovery::{list_kind, Endpoint, List, Status};
 use crate::flow::Answered;
 use caperwind::{
     Action, Arrival, AttemptIx, BackendId, BackendRow, BackendState, CellIx, Config, Ended, Event, Gateway,
@@ -23,6 +23,8 @@
 const MOST_OPEN: usize = 4096;
 /// Backends remembered; further ones are passed over.
 const MOST_BACKENDS: usize = 4096;
+/// Those that have gone are remembered for so long: no list is older.
+const LEFT: Micros = 120_000_000;
 /// Upkeep of the pools.
 const SWEEP: Micros = 1_000_000;
 /// Sweeps from one report in the log to the next.
@@ -95,6 +97,8 @@
     names: HashMap<String, (BackendId, Endpoint)>,
     /// The ids of these.
     taken: HashSet<BackendId>,
+    /// Backends that have gone of late: the start of their last process, and when.
+    left: HashMap<String, (u64, Micros)>,
     /// Backends out by hand, listed or not.
     barred: BTreeMap<String, BackendId>,
     refetch: bool,
@@ -127,6 +131,20 @@
 }
 
 impl Core {
+    /// Whether a list that may be older than what is held tells of this backend at all. Danger: what was told to
+    /// drain or to go must not come back with it; a process that has started since may.
+    fn stays(&self, e: &mut Endpoint) -> bool {
+        match self.names.get(&e.name) {
+            Some((_, held)) if e.since_ms < held.since_ms => *e = held.clone(),
+            Some((_, held)) if e.since_ms == held.since_ms && matches!(held.status, Status::Draining) => {
+                e.status = held.status;
+            }
+            Some(_) => {}
+            None => return self.left.get(&e.name).is_none_or(|(since, _)| e.since_ms > *since),
+        }
+        true
+    }
+
     /// Lets go of a request that is over, and of all that was kept for it.
     fn forget(&mut self, id: RequestId) {
         if let Some(open) = self.requests.remove(&id) {
@@ -176,6 +194,7 @@
             acts: Vec::new(),
             names: HashMap::new(),
             taken: HashSet::new(),
+            left: HashMap::new(),
             barred: BTreeMap::new(),
             refetch: false,
             tally: Tally::default(),
@@ -363,10 +382,15 @@
         self.take_list(list, ListKind::Cached);
     }
 
-    /// News from discovery; true where the module has asked for the whole list.
-    pub fn backends_told(&self, list: List, _older: bool) -> bool {
+    /// News from discovery, which may be `older` than what is held; true where the module has asked for the
+    /// whole list.
+    pub fn backends_told(&self, mut list: List, older: bool) -> bool {
         self.0.ready.set(true);
         self.0.told.notify_one();
+        if older {
+            let core = self.0.core.borrow();
+            list.endpoints.retain_mut(|e| core.stays(e));
+        }
         let kind = list_kind(&list);
         self.take_list(list, kind);
         std::mem::take(&mut self.0.core.borrow_mut().refetch)
@@ -381,15 +405,9 @@
         if kind != ListKind::Delta {
             // A backend that a whole list leaves out is gone.
             let named: HashSet<&str> = list.endpoints.iter().map(|e| e.name.as_str()).collect();
-            let pool = &self.0.pool;
-            core.names.retain(|name, (id, _)| {
-                let stays = named.contains(name.as_str());
-                if !stays {
-                    core.taken.remove(id);
-                    pool.forget(*id);
-                }
-                stays
-            });
+            let gone: Vec<String> =
+                core.names.keys().filter(|name| !named.contains(name.as_str())).cloned().collect();
+            gone.iter().for_each(|name| self.leaves(core, name));
         }
         let rows = list.endpoints.into_iter().filter_map(|e| self.row(core, e));
         let rows: Vec<BackendRow> = rows.collect();
@@ -397,6 +415,20 @@
         self.run(core, self.0.clock.now());
     }
 
+    /// A backend is gone.
+    fn leaves(&self, core: &mut Core, name: &str) {
+        let Some((id, e)) = core.names.remove(name) else { return };
+        core.taken.remove(&id);
+        self.0.pool.forget(id);
+        let now = self.0.clock.now();
+        if core.left.len() >= MOST_BACKENDS {
+            core.left.retain(|_, (_, at)| now.saturating_sub(*at) < LEFT);
+        }
+        if core.left.len() < MOST_BACKENDS {
+            core.left.insert(name.to_owned(), (e.since_ms, now));
+        }
+    }
+
     /// A backend as the module knows it; `None` for one more than may be remembered.
     fn row(&self, core: &mut Core, e: Endpoint) -> Option<BackendRow> {
         let (state, module) = (BackendState::from(e.status), &self.0.module);
@@ -420,10 +452,9 @@
         };
         // Names are ever new: what is gone is forgotten at once.
         if state == BackendState::Gone {
-            self.0.pool.forget(backend);
-            core.names.remove(&e.name);
-            core.taken.remove(&backend);
+            self.leaves(core, &e.name);
         } else {
+            core.left.remove(&e.name);
             self.0.pool.set(backend, e.address, state == BackendState::Ready, same_process);
             core.names.insert(e.name.clone(), (backend, e));
             core.taken.insert(backend);
@@ -635,6 +666,7 @@
                 Due::Sweep => {
                     self.0.pool.sweep();
                     self.0.counter.sweep();
+                    core.left.retain(|_, (_, at)| now.saturating_sub(*at) < LEFT);
                     self.report(&mut core);
                     core.timers.insert((now + SWEEP, Due::Sweep));
                 }
--- a/node/tests/lists.rs
+++ b/node/tests/lists.rs
@@ -26,6 +26,47 @@
     }
 }
 
+/// Guards against a list that is older than the one in hand bringing back what drains or has gone: one that has
+/// gone back in its version, and one of another agent, who may know less. What has started anew is used, and
+/// so is what a later change takes back.
+#[test]
+fn an_older_list_does_not_bring_back_what_was_told_to_go() {
+    let (stays, leaves) = (Fake::start(|_| ok("x")), Fake::start(|_| ok("x")));
+    let entries = |status: &str, since| {
+        vec![entry("s-0", stays.address, "SERVING"), entry_since("s-1", leaves.address, status, since)]
+    };
+    for moves in [false, true] {
+        for last in ["DRAINING", "DELETED"] {
+            let discovery = Discovery::start(entries("SERVING", 0));
+            let (gateway, counter) = gateway(&Start::default(), discovery.fake.address);
+            discovery.settled();
+            (0..5).for_each(|_| discovery.set(entries("SERVING", 0)));
+            discovery.settled();
+            discovery.set(entries(last, 0));
+            discovery.settled();
+            leaves.seen.try_iter().for_each(drop);
+            // The same backends as before, all of them well.
+            let other = Discovery::start(entries("SERVING", 0));
+            let now = if moves {
+                gateway.reload(other.fake.address, counter.address);
+                &other
+            } else {
+                discovery.replace(3, entries("SERVING", 0));
+                &discovery
+            };
+            while now.fake.next().path() != "/v1/servers" {}
+            now.settled();
+            asked(&gateway, 60);
+            assert_eq!(leaves.seen.try_iter().count(), 0, "{last} was taken back, agent moves: {moves}");
+            // A process that started since, or word of it that comes later.
+            now.set(entries("SERVING", u64::from(!moves)));
+            now.settled();
+            asked(&gateway, 60);
+            assert!(leaves.seen.try_iter().count() > 0, "{last} for good, agent moves: {moves}");
+        }
+    }
+}
+
 /// What a discovery does with one connection's first call after another.
 #[derive(Clone, Copy, Debug)]
 enum Silence {
