Keep what is known of a customer by plan, and start a changed set from its even part

Cause: logic.rs, on_request kept the plan of the first request (or_insert_with) and set only the spread anew, share and part staying; on_inherited took plans and classes by their places. What is kept now lies under customer and plan, the share starts anew with another set, and a legacy tells the names of its plans and classes.

Ruled out: numbers alike in their low bits (a test, passed before), late totals by name, class over retries (kept by request), first and spread of a held request (its estimate goes by the total alone).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -73,11 +73,6 @@
         self.out_mean += (self.out as f64 - self.out_mean) * (1.0 - (-dt / REPORT_AGE).exp());
         self.out_at = now;
     }
-
-    /// Own requests that wait for their turn there, as far as is known.
-    fn waiting(&self) -> f64 {
-        self.out.saturating_sub(self.lost) as f64
-    }
 }
 
 impl Gateway {
@@ -169,12 +164,14 @@
 
     /// A customer's window and the part of it passed; customers roll over at different instants.
     fn phase(&self, id: CustomerId, plan: usize) -> (u64, f64) {
-        let x = self.now as f64 / self.window(plan) + unit(mix(id.0));
+        let x = self.now as f64 / self.window(plan) + unit(mix(id.under(plan).0));
         (x as u64, x.fract())
     }
 
-    fn name(&self, id: CustomerId, window: u64) -> CountName {
-        CountName(mix(mix(id.0).wrapping_add(window)))
+    fn name(&self, id: CustomerId, plan: usize, window: u64) -> CountName {
+        // Plans whose windows are as long number them alike.
+        let alike = (0..plan).filter(|p| self.window(*p) == self.window(plan)).count();
+        CountName(mix(mix(id.under(plan).under(alike).0).wrapping_add(window)))
     }
 
     /// Brings a customer's windows and store up to now; returns the part of the window passed.
@@ -184,7 +181,7 @@
             return 0.0;
         }
         let ((window, x), limit) = (self.phase(id, plan), self.limit(plan));
-        let old = self.name(id, window.wrapping_sub(2));
+        let old = self.name(id, plan, window.wrapping_sub(2));
         let Some(c) = self.customers.get_mut(&id) else { return x };
         let gained = self.cfg.plans[plan].rate * self.now.saturating_sub(c.store_at) as f64 / SECOND;
         (c.store, c.store_at) = ((c.store + gained).min(limit), self.now);
@@ -368,7 +365,7 @@
     fn sync(&mut self, id: CustomerId) {
         let (window, plan) = (self.customers[&id].window, self.customers[&id].plan);
         let before = window.wrapping_sub(1);
-        let names = [(self.name(id, before), before), (self.name(id, window), window)];
+        let names = [(self.name(id, plan, before), before), (self.name(id, plan, window), window)];
         let (keep, ample) = ((3.0 * self.window(plan)).min(KEEP_MAX) as Micros, AMPLE * self.limit(plan));
         // Danger: where no part holds a request all need calls, also while the counter seems to have room.
         let spare = self.pace >= 1.0 && self.limit(plan) * self.customers[&id].part() >= 1.0;
@@ -516,11 +513,8 @@
 
     /// Takes over what another process of this gateway knows. What can't be is passed over.
     fn on_inherited(&mut self, legacy: Legacy) {
-        let (plans, gateways) = (self.cfg.plans.len(), self.cfg.gateways as f64);
-        for (id, mut c) in legacy.customers {
-            if c.plan >= plans || c.window > self.now {
-                continue;
-            }
+        let (legacy, gateways) = (legacy.fitting(&self.cfg), self.cfg.gateways as f64);
+        for (id, mut c) in legacy.customers.into_iter().filter(|(_, c)| c.window <= self.now) {
             (c.spread, c.share) = (c.spread.clamp(1.0, gateways), c.share.clamp(0.0, 1.0));
             (c.seen, c.store_at) = (c.seen.min(self.now), c.store_at.min(self.now));
             self.customers.entry(id).or_insert(c);
@@ -594,7 +588,7 @@
     }
 
     fn on_request(&mut self, a: Arrival) {
-        let (id, cid, class, plan, now) = (a.id, a.customer, a.class.0 as usize, a.plan.0 as usize, self.now);
+        let (id, class, plan, now) = (a.id, a.class.0 as usize, a.plan.0 as usize, self.now);
         if class >= self.cfg.classes.len() || plan >= self.cfg.plans.len() {
             self.acts.push(Action::Refuse { id, wait: 0 });
             return;
@@ -603,18 +597,24 @@
         let units = if a.units.is_finite() && a.units > 0.0 { a.units } else { self.cfg.units_top.max(1.0) };
         let spread = if a.spread >= 1.0 { a.spread.min(self.cfg.gateways as f64) } else { 1.0 };
         let (deadline, coming) = (a.deadline, a.coming);
+        // Danger: kept for the customer alone, what one plan grants or refuses would be another's.
+        let cid = a.customer.under(plan);
         let r = Request { class, customer: cid, deadline, units, coming, ..Request::default() };
         self.requests.insert(id, r);
         self.deadlines.insert((a.deadline, id));
         self.arm();
         let window = if self.cfg.plans[plan].rate > 0.0 { self.phase(cid, plan).0 } else { 0 };
         let (share, store) = (1.0 / spread, self.cfg.plans[plan].burst);
-        let others = store * (1.0 - share);
-        let slice = store * share;
+        let (others, slice) = (store * (1.0 - share), store * share);
         let new =
             || Customer { plan, window, share, others, store, store_at: now, slice, ..Customer::default() };
         let c = self.customers.entry(cid).or_insert_with(new);
-        (c.spread, c.seen) = (spread, now);
+        let set = (spread, a.first_gateway);
+        if c.set.replace(set) != Some(set) {
+            // What came through here of another set's traffic says nothing of this one's.
+            (c.spread, c.share) = (spread, share);
+        }
+        c.seen = now;
         let verdict = self.judge(cid, units);
         let Some(c) = self.customers.get_mut(&cid) else { return };
         let again = std::mem::replace(&mut c.cur.asked, true) || c.prev.asked;
@@ -771,10 +771,6 @@
         (self.waiting() + PRIOR) / (self.done_rate + PRIOR / late) * SECOND
     }
 
-    fn waiting(&self) -> f64 {
-        self.out.saturating_sub(self.lost) as f64
-    }
-
     /// Finds attempts that got lost on the way. Danger: each stays out until its deadline, many times what an
     /// answer takes; taken for work that queues, a few make a well fleet look jammed, and refusals follow.
     /// One sent there well after it and answered has overtaken it: a queue would have kept their order.
--- a/src/state.rs
+++ b/src/state.rs
@@ -47,6 +47,9 @@
 pub(crate) struct Customer {
     pub(crate) plan: usize,
     pub(crate) spread: f64,
+    /// The set of its last request: how many gateways, and the first of them.
+    #[serde(default)]
+    pub(crate) set: Option<(f64, f64)>,
     pub(crate) window: u64,
     pub(crate) cur: Tally,
     pub(crate) prev: Tally,
@@ -136,6 +139,9 @@
 /// What a process of this gateway leaves to the next one: plain figures, on the clock that both go by.
 #[derive(Default, Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Legacy {
+    /// The names of the plans and classes that its figures mean.
+    #[serde(default)]
+    pub(crate) names: [Vec<String>; 2],
     pub(crate) customers: Vec<(CustomerId, Customer)>,
     pub(crate) backends: Vec<(BackendId, Cold)>,
     /// By class: latency, its least, and answers that these rest on.
@@ -143,6 +149,21 @@
     pub(crate) mix: [f64; 2],
 }
 
+impl Legacy {
+    /// What of it holds under these settings. Danger: plans and classes are told by their places; where these
+    /// mean others, a customer would come under another one's plan.
+    pub(crate) fn fitting(mut self, cfg: &Config) -> Self {
+        let [plans, classes] = cfg.names();
+        if self.names[0] != plans || self.customers.iter().any(|(_, c)| c.plan >= plans.len()) {
+            self.customers.clear();
+        }
+        if self.names[1] != classes {
+            (self.classes, self.mix) = (Vec::new(), [0.0; 2]);
+        }
+        self
+    }
+}
+
 /// What the budget for a cold backend goes by.
 #[derive(Default, Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Cold {
@@ -404,6 +425,29 @@
     }
 }
 
+impl Config {
+    /// The names of plans and classes, by their places.
+    fn names(&self) -> [Vec<String>; 2] {
+        let plans = self.plans.iter().map(|p| p.name.clone()).collect();
+        [plans, self.classes.iter().map(|c| c.name.clone()).collect()]
+    }
+}
+
+impl CustomerId {
+    /// What is kept of a customer under one of its plans goes by this; twice, it is the customer's own number
+    /// again. Customers are numbers below 2^33.
+    pub(crate) fn under(self, plan: usize) -> Self {
+        CustomerId(self.0 ^ (plan as u64) << 33)
+    }
+}
+
+impl Backend {
+    /// Own requests that wait for their turn there, as far as is known.
+    pub(crate) fn waiting(&self) -> f64 {
+        self.out.saturating_sub(self.lost) as f64
+    }
+}
+
 /// A request's class (0, index) and plan (1, index).
 pub(crate) type Kinds = [(u8, usize); 2];
 
@@ -452,6 +496,7 @@
         let cold = |b: &Backend| Cold { started: b.started, guessed: b.guessed, sent: b.sent.clone() };
         let classes = self.class_lat.iter().zip(&self.class_base).zip(&self.class_seen);
         Legacy {
+            names: self.cfg.names(),
             customers: self.customers.iter().map(|(id, c)| (*id, heir(c))).collect(),
             backends: self.backends.iter().filter(|(_, b)| b.listed).map(|(id, b)| (*id, cold(b))).collect(),
             classes: classes.map(|((lat, base), seen)| (*lat, *base, *seen)).collect(),
@@ -473,6 +518,11 @@
         all
     }
 
+    /// Attempts out that work waits with, as far as is known.
+    pub(crate) fn waiting(&self) -> f64 {
+        self.out.saturating_sub(self.lost) as f64
+    }
+
     /// Whether clients are to be sent away.
     pub fn draining(&self) -> bool {
         self.draining
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -13,6 +13,7 @@
     timers: Vec<(Micros, TimerToken)>,
     pub deadline: Micros,
     pub spread: f64,
+    pub plan: u16,
 }
 
 pub fn backend(n: u8) -> BackendId {
@@ -37,7 +38,7 @@
     pub fn new(config: Config, backends: u8) -> Self {
         let gateway = Gateway::new(config, 1).expect("settings are sound");
         let (out, timers) = (Vec::new(), Vec::new());
-        let mut rig = Rig { gateway, now: 100 * SEC, out, timers, deadline: 2 * SEC, spread: 2.0 };
+        let mut rig = Rig { gateway, now: 100 * SEC, out, timers, deadline: 2 * SEC, spread: 2.0, plan: 0 };
         let rows = (0..backends).map(|n| BackendRow::new(backend(n), BackendState::Ready)).collect();
         rig.feed(Event::Backends { kind: ListKind::Cached, version: 1, rows });
         rig
@@ -89,7 +90,7 @@
         self.feed(Event::Request(Arrival {
             id: RequestId(id),
             class: ClassIx(class as _),
-            plan: PlanIx(0),
+            plan: PlanIx(self.plan),
             customer: CustomerId(customer),
             deadline: self.now + self.deadline,
             units,
