Bring the deadlines of open requests forward at a restart, so none is sent elsewhere at its end

Seen (node/tests/restart.rs, fails without the fix): two of twelve safe requests that the last moment for answers cut short were sent to a second backend then, 2 ms before their final answer. Cause: driver.rs, close_within set a timer and left the deadline as it was, so send() found time left. The deadline itself moves now, also for an answer that flows.

Orders looked at and harmless: deadline, watchdog, time-out, answer and the client's leaving at one moment (each takes the reply or the attempt out of the table, and the later one finds none; a ticket dropped with its answer unread ends nothing twice); timers of the requests that are over (their ids come again after 2^32).

--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -229,12 +229,18 @@
     pub fn close_within(&self, span: Micros) {
         let last = self.0.clock.now() + span;
         self.0.closing.set(Some(last));
-        let mut core = self.0.core.borrow_mut();
-        let late: Vec<_> =
-            core.requests.iter().filter(|(_, r)| r.deadline > last).map(|(id, _)| *id).collect();
-        late.into_iter().for_each(|id| {
+        let (mut core, mut moved) = (self.0.core.borrow_mut(), Vec::new());
+        // Danger: an attempt that ends then must not be followed by another.
+        for (id, open) in &mut core.requests {
+            if open.deadline > last {
+                moved.push((std::mem::replace(&mut open.deadline, last), *id));
+                open.last.set(self.0.clock.instant(last));
+            }
+        }
+        for (before, id) in moved {
+            core.timers.remove(&(before, Due::Deadline(id)));
             core.timers.insert((last, Due::Deadline(id)));
-        });
+        }
         self.0.wake.notify_one();
     }
 
--- a/node/tests/restart.rs
+++ b/node/tests/restart.rs
@@ -142,3 +142,33 @@
     ends_well(&mut scene.gateway, told);
     drop((scene.discovery, scene.counter));
 }
+
+/// Guards against work begun for nobody as the last moment for answers comes: what is cut short then is not sent
+/// elsewhere, though its class and its client's time allow that.
+#[test]
+fn what_is_cut_short_at_the_end_is_not_sent_elsewhere() {
+    let backends = [Fake::start(|_| Reaction::Silence), Fake::start(|_| Reaction::Silence)];
+    let entries = backends.iter().zip(["s-0", "s-1"]).map(|(b, name)| entry(name, b.address, "SERVING"));
+    let changes =
+        &[("\"deadline_us\":3000000,\"effect\":\"pure\"", "\"deadline_us\":9000000,\"effect\":\"pure\"")];
+    let mut scene = scene(&Start { changes, ..Start::default() }, entries.collect());
+    // Retries are earned by first tries.
+    let mut clients: Vec<Client> = (0..12)
+        .map(|n| {
+            let mut client = scene.gateway.client();
+            client.send(&request("consulta", n, 9000));
+            client
+        })
+        .collect();
+    let mut tries = 0;
+    while tries < clients.len() {
+        tries += backends.iter().map(|b| b.seen.try_iter().count()).sum::<usize>();
+    }
+    let told = Instant::now();
+    scene.gateway.terminate();
+    for client in &mut clients {
+        assert!(matches!(client.answer().expect("an answer").status(), 503 | 504));
+    }
+    ends_well(&mut scene.gateway, told);
+    assert_eq!(backends.iter().map(|b| b.seen.try_iter().count()).sum::<usize>(), 0, "sent elsewhere");
+}
