--- a/node/tests/service.rs
+++ b/node/tests/service.rs
@@ -440,3 +440,25 @@
     scene.gateway.terminate();
     assert!(scene.gateway.wait().success());
 }
+
+/// Guards against a start that goes on, crashes or says nothing where the configuration can't be used.
+#[test]
+fn a_configuration_that_can_not_be_used_is_one_plain_line_and_no_start() {
+    let (discovery, counter) = (free_port(), free_port());
+    let broken: [&[(&str, &str)]; 6] = [
+        &[(r#""balancers":2"#, r#""balancers":0"#)],
+        &[(r#""aim_us":800000"#, r#""aim_us":0"#)],
+        &[(r#""quota_rate":1000"#, r#""quota_rate":-1"#)],
+        &[(r#""effect":"pure""#, r#""effect":"odd""#)],
+        &[(r#""classes":["#, r#""classes":7,"others":["#)],
+        &[(r#"{"balancers""#, r#"nothing"balancers""#)],
+    ];
+    for changes in broken {
+        let mut gateway = Gateway::launch(&Start { changes, ..Start::default() }, discovery, counter);
+        let status = gateway.wait();
+        let log = gateway.log();
+        assert!(!status.success() && status.code().is_some(), "{changes:?}: {status}");
+        assert_eq!(log.lines().count(), 1, "{changes:?}: {log}");
+        assert!(!log.contains("panicked"), "{log}");
+    }
+}
