Without a counter, take one that comes again to be over only where uneven parts hold no request

Cause: with a handful of gateways a part is about a request, and coming again is what a customer within its quota does; the 0.7 stood for all sizes. Now it holds where UNEVEN even parts do not make one request.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -21,7 +21,7 @@
 const SPARSE: f64 = 2.0; // Drawn counts that a window must hold for its total to tell anything.
 const BELIEF: f64 = 10e6; // What a customer was seen to be is believed for about this long.
 const FIRST_ODDS: [f64; 2] = [0.3, 0.6]; // Odds of being over quota at the start: new here, and come again.
-const UNTOLD: f64 = 0.7; // The same for one come again where no counter will ever tell.
+const UNTOLD: f64 = 0.7; // The same come again where no counter tells and uneven parts hold no request.
 const NEAR: f64 = 0.5; // Use, as a part of the quota, from which a request may well be over it.
 const UNEVEN: f64 = 4.0; // Even parts that may pass here by the odds alone: traffic comes unevenly.
 const DOUBT: f64 = 0.7; // How far full counts lift the suspicion that odds cast while the fleet is pressed.
@@ -81,8 +81,7 @@
     pub fn new(cfg: Config, seed: u64) -> Result<Self, ConfigError> {
         cfg.check()?;
         let (rng, classes) = (Random(mix(seed) | 1), cfg.classes.len());
-        let again = if cfg.counter.is_some() { FIRST_ODDS[1] } else { UNTOLD };
-        let (over_seen, retry_tokens) = (vec![[FIRST_ODDS[0], again]; cfg.plans.len()], 1.0);
+        let (over_seen, retry_tokens) = (vec![FIRST_ODDS; cfg.plans.len()], 1.0);
         let pace = (CALLS_MAX / cfg.gateways as f64).clamp(0.3, 1.0);
         Ok(Gateway {
             cfg,
@@ -304,8 +303,9 @@
             return own <= part || c.slice >= units;
         }
         // Danger: parts below one request strand a small quota, one from each floods it: the odds decide.
-        let (odds, plan) = (self.odds(c), &self.cfg.plans[c.plan]);
-        own <= units.max(UNEVEN * part) && (1.0 - odds) > odds * plan.over_cost
+        let again = (c.cur.asked || c.prev.asked) && UNEVEN * part < units;
+        let odds = self.odds(c).max(if again && self.cfg.counter.is_none() { UNTOLD } else { 0.0 });
+        own <= units.max(UNEVEN * part) && (1.0 - odds) > odds * self.cfg.plans[c.plan].over_cost
     }
 
     /// Takes in how near its quota a customer was found, by the meter or a total (had it come `again`?).
