Make the gateway's network code a library with a thin main.rs

Its parts could be tested only through the whole process, so nothing could drive their clock. What main.rs held is process.rs now; no behaviour is changed.

--- /dev/null
+++ b/node/src/lib.rs
@@ -0,0 +1,18 @@
+//! badgerglade: a quota-keeping gateway for order traffic, on real sockets. The program is `process::run`; the rest is
+//! public for the tests and tools of this repository.
+#![deny(unsafe_code)]
+
+pub mod admission;
+pub mod backend;
+pub mod clock;
+pub mod config;
+pub mod counter;
+pub mod discovery;
+pub mod driver;
+pub mod figures;
+pub mod flow;
+pub mod handover;
+pub mod metered;
+pub mod ops;
+pub mod process;
+pub mod server;
--- /dev/null
+++ b/node/src/process.rs
@@ -0,0 +1,168 @@
+//! The life of one gateway process: start, reload, shutdown.
+
+use crate::backend::Pool;
+use crate::config::{Bounds, Held, Reload, Setup};
+use crate::counter::Counter;
+use crate::handover::{Handover, Word};
+use crate::server::Server;
+use crate::{admission, discovery, driver, figures, handover, ops};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::runtime::{Builder, LocalOptions};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
+
+/// After SIGTERM: how long new connections are still taken (they go on coming for up to 0.4 s), until when
+/// connections are closed by an answer, if they have not been idle for long, and how long what was taken may
+/// go on: the longest deadline, counted as this at most, and some more.
+const STILL_ACCEPT: Duration = Duration::from_millis(700);
+const BY_ANSWER: Duration = Duration::from_millis(1_200);
+const LONG_IDLE: Duration = Duration::from_millis(300);
+const LONGEST: Duration = Duration::from_secs(3);
+const AFTER_LONGEST: Duration = Duration::from_millis(300);
+/// How often each of two processes tells what it holds.
+const SHARE: Duration = Duration::from_millis(50);
+/// Where another process serves, the list is waited for so long before this one does.
+const FIRST_LIST: Duration = Duration::from_millis(1_500);
+const LAST_BYTES: Duration = Duration::from_millis(200);
+
+/// Runs until the process is told to end; the error is one plain line.
+pub fn run() -> Result<(), String> {
+    // Danger: a LocalSet beside the runtime writes to a descriptor at each wake-up, and polls once more.
+    let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
+    runtime.map_err(|e| format!("runtime: {e}"))?.block_on(serve())
+}
+
+async fn serve() -> Result<(), String> {
+    // Danger: unhandled, either signal ends the process. Handlers come first and stay to the end.
+    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
+    let setup = Setup::from_env()?;
+    let (alone, paired) = (setup.alone, setup.paired);
+    let listener = match setup.inherited {
+        Some(fd) => handover::inherited(fd).and_then(|l| TcpListener::from_std(l).map_err(|e| e.to_string())),
+        None => TcpListener::bind(setup.listen).await.map_err(|e| format!("{}: {e}", setup.listen)),
+    }?;
+    let pool = Pool::new(&setup);
+    let counter = Counter::new(setup.counter, setup.module.counter, alone.counter);
+    let figures = figures::Figures::new(&setup.module);
+    let last_answer = last_answer(&setup.module);
+    let driver = driver::Shared::new(setup.module, setup.seed, pool.clone(), counter.clone())?;
+    // The module begins with the list it last had, an empty one if none.
+    let none = discovery::List { index: 0, snapshot: true, endpoints: Vec::new() };
+    let known = setup.known.as_ref().filter(|list| !list.endpoints.is_empty()).map(|list| list.index);
+    driver.backends_known(setup.known.unwrap_or(none));
+    let timers = driver.clone();
+    tokio::task::spawn_local(async move { timers.keep_time().await });
+
+    let bodies = admission::Budget::new(setup.body_bytes);
+    let server = Server::new(driver.clone(), figures.clone(), alone.clients, bodies);
+    let others = Handover::join(driver.clone(), setup.meet).await;
+    if let Some(address) = setup.ops {
+        let door = TcpListener::bind(address).await.map_err(|e| format!("ops {address}: {e}"))?;
+        let ops =
+            ops::Door::new(driver.clone(), server.clone(), figures, others.clone(), setup.ops_connections);
+        tokio::task::spawn_local(ops.accept(door));
+    }
+    let (discovery, followed) = watch::channel(setup.discovery);
+    // What another process has handed over is checked against the whole list.
+    let held = known.filter(|_| !others.paired());
+    tokio::task::spawn_local(discovery::follow(followed, driver.clone(), held, setup.seed));
+    tokio::task::spawn_local(server.clone().watch());
+    tokio::task::spawn_local(share(alone, paired, others.clone(), server.clone(), pool, counter.clone()));
+    let (first, accepts, serving) = (driver.clone(), server.clone(), others.clone());
+    let (stop, last) = watch::channel(false);
+    let accept = tokio::task::spawn_local(async move {
+        // Another process serves: there is time to hear what discovery says now.
+        if serving.paired() {
+            let _ = tokio::time::timeout(FIRST_LIST, first.told()).await;
+        }
+        serving.tell(&Word::Serving);
+        accepts.accept(listener, last).await;
+    });
+    eprintln!("{}: listening on {}", setup.name, setup.listen);
+
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = hangup.recv() => match Reload::from_file() {
+                Ok(new) => {
+                    if let Some(to) = new.discovery {
+                        discovery.send_replace(to);
+                    }
+                    if let Some(to) = new.counter {
+                        counter.move_to(to);
+                    }
+                    eprintln!("reloaded: discovery {:?}, counter {:?}", new.discovery, new.counter);
+                }
+                Err(why) => eprintln!("reload: {why}; the old settings stay"),
+            },
+        }
+    }
+    let began = tokio::time::Instant::now();
+    driver.close_within(last_answer.as_micros() as u64);
+    if others.succeeded() {
+        // What still comes is the other process's.
+        server.succeeded();
+        stop.send_replace(true);
+    }
+    // Danger: the front goes on opening connections for a while, and what comes on them is taken.
+    tokio::time::sleep(STILL_ACCEPT).await;
+    // What a backend is still giving is passed on to the end, or as far as SIGKILL lets it.
+    let in_time = || began.elapsed() < last_answer + LAST_BYTES || server.flowing();
+    while in_time() {
+        if driver.idle() && server.empty() {
+            if accept.is_finished() {
+                break;
+            }
+            // What stands in the listener's line by now is the last that comes.
+            stop.send_replace(true);
+        }
+        // Danger: a request may be on its way on any connection that is open. Those in use are closed by an
+        // answer; the longer one has been idle, the less likely it is that one crosses its end.
+        let idle = if began.elapsed() < BY_ANSWER { LONG_IDLE } else { Duration::ZERO };
+        server.close_idle(idle);
+        // Danger: an answer that never ends would hold this process until SIGKILL, and its client for longer.
+        if began.elapsed() >= last_answer {
+            server.cut_stuck(LAST_BYTES);
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    others.end().await;
+    // Tasks that are left hold nothing that is owed; they end with the process.
+    std::process::exit(0);
+}
+
+/// Keeps to the bounds, which hold for all processes of this gateway together.
+async fn share(
+    alone: Bounds,
+    paired: Bounds,
+    others: Rc<Handover>,
+    server: Rc<Server>,
+    pool: Rc<Pool>,
+    counter: Rc<Counter>,
+) {
+    let (mut held, mut told) = (others.held(), Held::default());
+    loop {
+        let other = *held.borrow_and_update();
+        let bounds = other.map_or(alone, |other| paired.beside(other));
+        server.hold(bounds.clients);
+        pool.hold(bounds.backends);
+        counter.hold(bounds.counter);
+        let own = Held { clients: server.held(), backends: pool.held() };
+        if other.is_some() && own != told {
+            others.tell(&Word::Held(own));
+            told = own;
+        }
+        // While there is another, what is held here may change at any time.
+        let look = if other.is_some() { SHARE } else { Duration::MAX };
+        let _ = tokio::time::timeout(look, held.changed()).await;
+    }
+}
+
+/// SIGKILL comes no sooner after SIGTERM than the longest deadline, 3 s at most, and 0.7 s more.
+fn last_answer(module: &caperwind::Config) -> Duration {
+    let longest = module.classes.iter().map(|c| Duration::from_micros(c.deadline)).max();
+    longest.map_or(LONGEST, |d| d.min(LONGEST)) + AFTER_LONGEST
+}
