Let discovery tell a subscriber, so that it imports the driver no more

discovery.rs and driver.rs imported each other, so that the follower could be tested only through a whole process, on the machine's clock. It tells whoever subscribes now (the driver does); lists in discovery's form are in endpoints.rs, which config.rs and handover.rs use.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -1,6 +1,6 @@
 //! What a gateway is told: the NODE_* variables and the JSON file they name, at its start and on SIGHUP.
 
-use crate::discovery::List;
+use crate::endpoints::List;
 use caperwind::Config;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -1,13 +1,12 @@
 //! Discovery: a full list, then one watch after another; what it tells goes to the driver in order.
 
-use crate::driver::Shared;
+use crate::endpoints::List;
 use bytes::Bytes;
-use caperwind::{BackendState, Discovery, ListKind};
+use caperwind::Discovery;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1;
 use hyper::StatusCode;
 use hyper_util::rt::TokioIo;
-use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -64,54 +63,6 @@
 const SPREAD: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(4));
 const MOST_BYTES: usize = 4 << 20;
 
-/// A list of backends in discovery's form.
-#[derive(Serialize, Deserialize)]
-pub struct List {
-    pub index: u64,
-    #[serde(default)]
-    pub snapshot: bool,
-    pub endpoints: Vec<Endpoint>,
-}
-
-#[derive(Clone, Serialize, Deserialize)]
-pub struct Endpoint {
-    pub name: String,
-    pub address: SocketAddr,
-    #[serde(default)]
-    pub zone: String,
-    #[serde(default, rename = "type")]
-    pub kind: String,
-    #[serde(default)]
-    pub group: u16,
-    pub status: Status,
-    #[serde(default = "one")]
-    pub weight: f64,
-    #[serde(default)]
-    pub since_ms: u64,
-}
-
-fn one() -> f64 {
-    1.0
-}
-
-#[derive(Serialize, Deserialize, Clone, Copy)]
-#[serde(rename_all = "UPPERCASE")]
-pub enum Status {
-    Serving,
-    Draining,
-    Deleted,
-}
-
-impl From<Status> for BackendState {
-    fn from(s: Status) -> Self {
-        match s {
-            Status::Serving => BackendState::Ready,
-            Status::Draining => BackendState::Draining,
-            Status::Deleted => BackendState::Gone,
-        }
-    }
-}
-
 struct Agent {
     address: SocketAddr,
     sender: http1::SendRequest<Empty<Bytes>>,
@@ -180,9 +131,35 @@
     }
 }
 
+/// Who is told what discovery says.
+pub trait Subscriber {
+    /// A list, which may be `older` than what is held; true where the whole one is wanted next.
+    fn told(&self, list: List, older: bool) -> bool;
+    /// A call told nothing: what is held stays in force.
+    fn failed(&self);
+}
+
+/// How the settings want the list followed.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    pub mode: Discovery,
+    /// Of the whole fleet.
+    pub gateways: u32,
+    /// Nothing new may go to a backend so long after word of its drain.
+    pub drain_grace: Duration,
+}
+
+impl Terms {
+    pub fn of(module: &caperwind::Config) -> Self {
+        let drain_grace = Duration::from_micros(module.drain_grace);
+        Terms { mode: module.discovery, gateways: module.gateways, drain_grace }
+    }
+}
+
 /// What is held of discovery's list, and the wait before the next try.
-struct Follower {
-    driver: Shared,
+struct Follower<S> {
+    subscriber: S,
+    terms: Terms,
     /// The version that is held; `None`: the whole list is due.
     held: Option<u64>,
     /// The last version that this agent has told; `None`: nothing yet.
@@ -190,27 +167,31 @@
     patience: Patience,
     failures: u32,
     logged: Option<Instant>,
-    gateways: u32,
     random: fastrand::Rng,
 }
 
 /// Follows the list for as long as the program runs, at the address that holds at the time. `held` is the
 /// version of the list that the program began with.
-pub async fn follow(mut address: watch::Receiver<SocketAddr>, driver: Shared, held: Option<u64>, seed: u64) {
-    let module = driver.module();
-    let (mode, gateways, mut random) = (module.discovery, module.gateways, fastrand::Rng::with_seed(seed));
-    let patience = Patience::of(mode, Duration::from_micros(module.drain_grace));
+pub async fn follow(
+    mut address: watch::Receiver<SocketAddr>,
+    subscriber: impl Subscriber,
+    terms: Terms,
+    held: Option<u64>,
+    seed: u64,
+) {
+    let mut random = fastrand::Rng::with_seed(seed);
+    let patience = Patience::of(terms.mode, terms.drain_grace);
     if held.is_some() {
-        tokio::time::sleep(first_wait(mode, gateways, random.f64())).await;
+        tokio::time::sleep(first_wait(terms.mode, terms.gateways, random.f64())).await;
     }
     let (newest, failures, logged) = (held, 0, None);
-    let mut follower = Follower { driver, held, newest, patience, failures, logged, gateways, random };
+    let mut follower = Follower { subscriber, terms, held, newest, patience, failures, logged, random };
     loop {
         let at = *address.borrow_and_update();
         let try_one = async {
             let Err(why) = follower.session(at).await;
             // Danger: silence or rubbish is no empty list; what is held stays in force.
-            follower.driver.backends_failed();
+            follower.subscriber.failed();
             if follower.logged.is_none_or(|at| at.elapsed() >= LOG_EVERY) {
                 eprintln!("discovery: {why}");
                 follower.logged = Some(Instant::now());
@@ -241,12 +222,14 @@
     }
 }
 
-impl Follower {
+impl<S: Subscriber> Follower<S> {
     /// Doubles with each failure. Danger: gateways that are turned away together come back together, so
     /// each waits for a time of its own.
     fn wait(&mut self, why: &Failure) -> Duration {
         let (first, longest) = match why {
-            Failure::TurnedAway(_) => (TURNED_AWAY.0 * self.gateways, TURNED_AWAY.1 * self.gateways),
+            Failure::TurnedAway(_) => {
+                (TURNED_AWAY.0 * self.terms.gateways, TURNED_AWAY.1 * self.terms.gateways)
+            }
             _ => (BACKOFF, self.patience.backoff),
         };
         let wait = longest.min(first.saturating_mul(1 << self.failures.min(10)));
@@ -278,7 +261,7 @@
             self.held = Some(list.index).filter(|_| list.snapshot || !back);
             if self.held.is_some() {
                 self.newest = self.held;
-                if self.driver.backends_told(list, back) {
+                if self.subscriber.told(list, back) {
                     self.held = None;
                 }
             }
@@ -288,22 +271,13 @@
     /// How long a watch is to wait. Danger: an agent that was silent may have had news meanwhile, and what it has
     /// by its return counts at once: it is asked without waiting until it answers.
     fn watch(&self) -> Duration {
-        match self.driver.module().discovery {
+        match self.terms.mode {
             Discovery::Pushed if self.failures > 0 => Duration::from_millis(1),
             _ => self.patience.wait,
         }
     }
 }
 
-/// How the module is to read a list.
-pub fn list_kind(list: &List) -> ListKind {
-    if list.snapshot {
-        ListKind::Full
-    } else {
-        ListKind::Delta
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -5,7 +5,8 @@
 use crate::backend::{Finish, Message, Payload, Pool};
 use crate::clock::Clock;
 use crate::counter::Counter;
-use crate::discovery::{list_kind, Endpoint, List, Status};
+use crate::discovery::Subscriber;
+use crate::endpoints::{Endpoint, List, Status};
 use crate::flow::Answered;
 use caperwind::{
     Action, Arrival, AttemptIx, BackendId, BackendRow, BackendState, CellIx, Config, Ended, Event, Gateway,
@@ -362,7 +363,7 @@
     }
 
     /// Waits until discovery has told a list.
-    pub async fn told(&self) {
+    pub async fn first_list(&self) {
         self.0.told.notified().await;
     }
 
@@ -388,24 +389,6 @@
         self.take_list(list, ListKind::Cached);
     }
 
-    /// News from discovery, which may be `older` than what is held; true where the module has asked for the
-    /// whole list.
-    pub fn backends_told(&self, mut list: List, older: bool) -> bool {
-        self.0.ready.set(true);
-        self.0.told.notify_one();
-        if older {
-            let core = self.0.core.borrow();
-            list.endpoints.retain_mut(|e| core.stays(e));
-        }
-        let kind = list_kind(&list);
-        self.take_list(list, kind);
-        std::mem::take(&mut self.0.core.borrow_mut().refetch)
-    }
-
-    pub fn backends_failed(&self) {
-        self.feed(Event::Backends { kind: ListKind::Failed, version: 0, rows: Vec::new() });
-    }
-
     fn take_list(&self, list: List, kind: ListKind) {
         let core = &mut *self.0.core.borrow_mut();
         if kind != ListKind::Delta {
@@ -682,6 +665,25 @@
     }
 }
 
+impl Subscriber for Shared {
+    /// News from discovery; true where the module has asked for the whole list.
+    fn told(&self, mut list: List, older: bool) -> bool {
+        self.0.ready.set(true);
+        self.0.told.notify_one();
+        if older {
+            let core = self.0.core.borrow();
+            list.endpoints.retain_mut(|e| core.stays(e));
+        }
+        let kind = list.kind();
+        self.take_list(list, kind);
+        std::mem::take(&mut self.0.core.borrow_mut().refetch)
+    }
+
+    fn failed(&self) {
+        self.feed(Event::Backends { kind: ListKind::Failed, version: 0, rows: Vec::new() });
+    }
+}
+
 impl Shared {
     /// One line in the log that tells why requests were refused of late and how attempts and calls ended.
     fn report(&self, core: &mut Core) {
--- a/node/src/handover.rs
+++ b/node/src/handover.rs
@@ -2,8 +2,8 @@
 //! each other while both run, as lines of JSON on a Unix socket in `$TMPDIR`.
 
 use crate::config::Held;
-use crate::discovery::List;
 use crate::driver::Shared;
+use crate::endpoints::List;
 use caperwind::{Legacy, Spent};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod counter;
 pub mod discovery;
 pub mod driver;
+pub mod endpoints;
 pub mod figures;
 pub mod flow;
 pub mod handover;
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -5,7 +5,7 @@
 use crate::counter::Counter;
 use crate::handover::{Handover, Word};
 use crate::server::Server;
-use crate::{admission, discovery, driver, figures, handover, ops};
+use crate::{admission, discovery, driver, endpoints, figures, handover, ops};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -50,7 +50,7 @@
     let last_answer = last_answer(&setup.module);
     let driver = driver::Shared::new(setup.module, setup.seed, pool.clone(), counter.clone())?;
     // The module begins with the list it last had, an empty one if none.
-    let none = discovery::List { index: 0, snapshot: true, endpoints: Vec::new() };
+    let none = endpoints::List { index: 0, snapshot: true, endpoints: Vec::new() };
     let known = setup.known.as_ref().filter(|list| !list.endpoints.is_empty()).map(|list| list.index);
     driver.backends_known(setup.known.unwrap_or(none));
     let timers = driver.clone();
@@ -68,7 +68,8 @@
     let (discovery, followed) = watch::channel(setup.discovery);
     // What another process has handed over is checked against the whole list.
     let held = known.filter(|_| !others.paired());
-    tokio::task::spawn_local(discovery::follow(followed, driver.clone(), held, setup.seed));
+    let terms = discovery::Terms::of(driver.module());
+    tokio::task::spawn_local(discovery::follow(followed, driver.clone(), terms, held, setup.seed));
     tokio::task::spawn_local(server.clone().watch());
     tokio::task::spawn_local(share(alone, paired, others.clone(), server.clone(), pool, counter.clone()));
     let (first, accepts, serving) = (driver.clone(), server.clone(), others.clone());
@@ -76,7 +77,7 @@
     let accept = tokio::task::spawn_local(async move {
         // Another process serves: there is time to hear what discovery says now.
         if serving.paired() {
-            let _ = tokio::time::timeout(FIRST_LIST, first.told()).await;
+            let _ = tokio::time::timeout(FIRST_LIST, first.first_list()).await;
         }
         serving.tell(&Word::Serving);
         accepts.accept(listener, last).await;
