--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -682,6 +682,10 @@
     fn failed(&self) {
         self.feed(Event::Backends { kind: ListKind::Failed, version: 0, rows: Vec::new() });
     }
+
+    fn knows_any(&self) -> bool {
+        !self.0.core.borrow().names.is_empty()
+    }
 }
 
 impl Shared {
