Learn what a cold backend may get from what warm ones serve, not from what they are sent

Cause: cold_budget goes by learn_usual and sent_rate, which counted sends to warm backends. Where most of a fleet is replaced the few warm ones jam; what they turn away goes on elsewhere and counts again. One gateway, 13 backends: usual went from 66 to 179 requests a span while answers stood at 62, and stayed there, as too few warm ones were left to learn by; a cold backend got 109 where the settings allow 76 and chance 19.

Change: answers of warm backends are counted instead (Backend::served), and the rate of completions where too few are warm. The estimate falls with it also where nothing was wrong; COLD_PART goes from 0.5 to 0.55 so that cold backends get what they got before.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -51,7 +51,7 @@
 const SUBSET: f64 = 16.0; // Backends that one gateway keeps to, on average, while they do.
 const AFAR: f64 = 1.03; // A backend in another zone must be this much better.
 const SCATTER: f64 = 0.15; // Randomness in choice, so that gateways do not herd.
-const COLD_PART: f64 = 0.5; // Part of its share of the fall budget that a gateway uses.
+const COLD_PART: f64 = 0.55; // Part of its share of the fall budget that a gateway uses.
 
 impl Customer {
     /// The design's weighted sliding estimate at part `x` of the window, of all and of own.
@@ -931,8 +931,7 @@
             b.out += 1;
             b.turn = if b.turn >= 1.0 { 0.0 } else { b.turn };
             b.lost += u32::from(coming);
-            b.sent.push_back(now);
-            b.sent.retain(|&t| now.saturating_sub(t) <= self.cfg.fall_after);
+            note(&mut b.sent, now, self.cfg.fall_after);
         }
         self.out += 1;
         self.sent_count += 1.0;
@@ -1025,6 +1024,7 @@
         match outcome {
             Outcome::Ok => {
                 (b.fails, b.spared) = (0, b.spared / 2.0);
+                note(&mut b.served, now, self.cfg.fall_after);
                 b.full.retain(|k, _| !kinds.contains(k));
                 let (lat, base) = (&mut self.class_lat[class], &mut self.class_base[class]);
                 let seen = &mut self.class_seen[class];
@@ -1209,27 +1209,25 @@
     }
 
     /// Rule 4: this gateway's share of the fall budget of a cold backend bounds its sends.
-    /// Full capacity is not told; what each warm backend gets from here is at most that.
+    /// Full capacity is not told; what each warm backend serves from here is at most that.
     fn cold_allows(&self, b: &Backend, usable: f64) -> bool {
-        let warmth = self.warmth(b);
-        if warmth >= 1.0 {
+        if self.warmth(b) >= 1.0 {
             return true;
         }
         let budget = self.cold_budget(b, usable);
-        let recent = b.sent.iter().filter(|&&t| self.since(t) <= self.cfg.fall_after as f64).count();
         let began = b.started.max(b.guessed).unwrap_or(0);
         // Below one a span, gateways take turns: each when its own is due.
         if budget < 1.0 {
             return b.turn >= 1.0 && b.out == 0;
         }
         let budget = self.turns(budget, self.cfg.fall_after as f64, mix(began) ^ b.row.key());
-        (recent.max(b.out as usize) as f64) < budget
+        self.lately(&b.sent).max(b.out as f64) < budget
     }
 
     /// What this gateway may send within a fall span to a cold backend of its lot; others are not its own.
     fn cold_budget(&self, b: &Backend, usable: f64) -> f64 {
         let (span, keep) = (self.cfg.fall_after as f64, (SUBSET / usable).min(1.0));
-        let usual = self.usual.max(self.sent_rate / usable * span / SECOND);
+        let usual = self.usual.max(self.done_rate / usable * span / SECOND);
         let in_lot = f64::from(u8::from(self.lot(b.row.key()) < keep));
         COLD_PART * self.cfg.fall_multiple * self.warmth(b) * usual * in_lot / keep
     }
@@ -1245,16 +1243,16 @@
         }
     }
 
-    /// What warm backends get tells what a full one can do. Danger: the mean over all, cold ones too, falls
+    /// What warm backends serve tells what a full one can do. Danger: the mean over all, cold ones too, falls
     /// with what these are kept from: they stay idle while the warm ones are jammed and clients are refused.
+    /// Danger: a jam makes more sends, not more work. A few warm ones were sent 2.5 times what they bear, of
+    /// which much was turned away and sent on again, and cold ones would have fallen by that.
     fn learn_usual(&mut self) {
         let usable: Vec<_> = self.backends.values().filter(|b| self.usable(b)).collect();
         let warm: Vec<_> = usable.iter().filter(|b| self.warmth(b) >= 1.0).collect();
-        let lately =
-            |b: &Backend| b.sent.iter().filter(|&&t| self.since(t) <= self.cfg.fall_after as f64).count();
         if warm.len() * 3 >= usable.len().max(1) {
             // It does less while it is asked for less, which is no news of what it can do.
-            let all = warm.iter().map(|b| lately(b)).sum::<usize>() as f64;
+            let all = warm.iter().map(|b| self.lately(&b.served)).sum::<f64>();
             // Danger: of a few, chance alone makes peaks: no more is counted than is sure to be usual.
             let now = (all - all.sqrt()) / warm.len() as f64;
             self.usual = now.max(self.usual * (1.0 - BEAT as f64 / FORGET));
--- a/src/state.rs
+++ b/src/state.rs
@@ -117,8 +117,9 @@
     /// When it started as told, and when it came back from what looked like its death.
     pub(crate) started: Option<Micros>,
     pub(crate) guessed: Option<Micros>,
-    /// Sends while cold within the fall span.
+    /// Sends within the fall span, and answers.
     pub(crate) sent: VecDeque<Micros>,
+    pub(crate) served: VecDeque<Micros>,
     /// How near this gateway's next turn is, where many share a cold one: due at 1.
     pub(crate) turn: f64,
 }
@@ -282,7 +283,7 @@
     pub(crate) backends: BTreeMap<BackendId, Backend>,
     /// Backends out by hand, listed or not, and since when.
     pub(crate) barred: BTreeMap<BackendId, Micros>,
-    /// What a warm backend gets from here within a fall span, as far as last known.
+    /// What a warm backend serves from here within a fall span, as far as last known.
     pub(crate) usual: f64,
     pub(crate) draining: bool,
     /// Another process of this gateway serves, too: each spends half of its part.
@@ -368,6 +369,12 @@
     }
 }
 
+/// Adds an instant and forgets those that are over a span old.
+pub(crate) fn note(times: &mut VecDeque<Micros>, now: Micros, span: Micros) {
+    times.push_back(now);
+    times.retain(|&t| now.saturating_sub(t) <= span);
+}
+
 /// Moves a running mean; one not begun takes the first sample.
 pub(crate) fn blend(mean: &mut f64, sample: f64, gain: f64) {
     *mean += (sample - *mean) * if *mean > 0.0 { gain } else { 1.0 };
@@ -560,6 +567,11 @@
         unit(mix(mix(u64::from(self.cfg.me.0)) ^ of))
     }
 
+    /// How many of these were within the fall span.
+    pub(crate) fn lately(&self, times: &VecDeque<Micros>) -> f64 {
+        times.iter().filter(|&&t| self.since(t) <= self.cfg.fall_after as f64).count() as f64
+    }
+
     /// Lets go of a request held for a total, with what was to be counted for it.
     pub(crate) fn drop_held(&mut self, id: RequestId) {
         let Some(cid) = self.requests.get(&id).map(|r| r.customer) else { return };
