Draw a gateway's first turn anew when a backend turns cold by hand or by a guess

Cause: near_turns let turns come near at warm backends too, where they stayed at 1, and only a start told by the list drew them anew. A backend put back by hand (on_barred) or back from what looked like its death (readmit) was due at all gateways in that moment: with 300 of them it got 47 in a span in which the settings allow 15.6 and chance 9.9.

Change: while a backend is warm or out of use, its turn stays where the gateway's lot puts it, and comes near only from then on.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -807,14 +807,12 @@
         }
         for row in rows {
             let fresh = row.started > 0 && self.since(row.started) < self.cfg.warm_up as f64;
-            // Turns at it begin anywhere: all gateways hear of its start at nearly the same time.
-            let turn = self.lot(mix(row.started) ^ row.key());
+            let turn = self.place(&row);
             let new = || Backend { row, turn, slow: 1.0, seen_at: now, ..Backend::default() };
             let b = self.backends.entry(row.backend).or_insert_with(new);
             if row.started != b.row.started {
                 // A new process: what was known of the old one says nothing.
                 (b.health, b.slow, b.fails, b.errors, b.others) = (Health::Well, 1.0, 0, 0.0, None);
-                b.turn = turn;
             }
             (b.row, b.listed) = (row, row.state != BackendState::Gone);
             b.started = if fresh { Some(row.started) } else { b.started };
@@ -1236,10 +1234,14 @@
     /// had no request then or chose another backend: cold ones stayed idle while the warm ones were jammed.
     fn near_turns(&mut self, passed: f64) {
         let usable = self.usable_count();
-        let gained: Vec<_> = self.backends.values().map(|b| self.cold_budget(b, usable)).collect();
-        for (b, budget) in self.backends.values_mut().zip(gained) {
+        let cold = |b: &Backend| self.usable(b) && self.warmth(b) < 1.0;
+        let now = |b| (cold(b), self.cold_budget(b, usable), self.place(&b.row));
+        let all: Vec<_> = self.backends.values().map(now).collect();
+        for (b, (cold, budget, place)) in self.backends.values_mut().zip(all) {
+            // Danger: turns that came near while it was warm, or out of use, were due at all gateways in the
+            // moment in which it came back cold.
             let gain = budget * passed / self.cfg.fall_after as f64;
-            b.turn = if budget < 1.0 { (b.turn + gain).min(1.0) } else { 0.0 };
+            b.turn = if cold && budget < 1.0 { (b.turn + gain).min(1.0) } else { place };
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -572,6 +572,12 @@
         times.iter().filter(|&&t| self.since(t) <= self.cfg.fall_after as f64).count() as f64
     }
 
+    /// How near its first turn at a backend that becomes cold is: anywhere, as all gateways learn of a start
+    /// at nearly the same time.
+    pub(crate) fn place(&self, row: &BackendRow) -> f64 {
+        self.lot(mix(row.key()))
+    }
+
     /// Lets go of a request held for a total, with what was to be counted for it.
     pub(crate) fn drop_held(&mut self, id: RequestId) {
         let Some(cid) = self.requests.get(&id).map(|r| r.customer) else { return };
