Counter client tells its results through a trait: no import of the driver

Cause: counter.rs imported driver.rs, which imports counter.rs; the client could not be driven by a test without a whole gateway. Change: counter.rs has the trait Results; driver.rs implements it. Behaviour unchanged.

--- a/node/src/counter.rs
+++ b/node/src/counter.rs
@@ -1,7 +1,6 @@
 //! The counter client: one call out per connection, so that a late answer is never another call's.
 
 use crate::clock::Clock;
-use crate::driver::Shared;
 use crate::metered::{self, Broken, Link};
 use bytes::Bytes;
 use caperwind::{CountName, Counter as Limits, Micros, Reckoned};
@@ -19,6 +18,14 @@
 const LINGER: Duration = Duration::from_secs(1);
 const MOST_BYTES: usize = 1024;
 
+/// Who is told what became of calls.
+pub trait Results {
+    /// A call's one result.
+    fn counted(&self, name: CountName, result: Reckoned, elapsed: Micros);
+    /// What became of a call that was told as overdue.
+    fn counted_late(&self, name: CountName, amount: f64, result: Reckoned);
+}
+
 /// Connections to the counter.
 pub struct Counter {
     address: Cell<Option<SocketAddr>>,
@@ -69,13 +76,16 @@
         }
     }
 
-    /// Starts a call; its one result goes to the driver.
-    pub fn call(self: &Rc<Self>, driver: Shared, clock: Clock, name: CountName, amount: f64, keep: Micros) {
+    /// Starts a call.
+    pub fn call<R>(self: &Rc<Self>, results: R, clock: Clock, name: CountName, amount: f64, keep: Micros)
+    where
+        R: Results + 'static,
+    {
         let (counter, began) = (self.clone(), clock.now());
         tokio::task::spawn_local(async move {
             let until = Instant::now() + counter.limit;
             let path = format!("/v2/numbers/{:016x}?delta={amount}&life_ms={}", name.0, (keep / 1000).max(1));
-            let tell = |result| driver.counted(name, result, clock.now().saturating_sub(began));
+            let tell = |result| results.counted(name, result, clock.now().saturating_sub(began));
             let address = counter.address.get();
             let Some((seat, link)) = counter.link(address, until).await else {
                 return tell(Reckoned::NotAdded);
@@ -93,7 +103,7 @@
                 Err(_) => {
                     tell(Reckoned::Overdue);
                     let (end, link) = timeout(LINGER, call).await.unwrap_or((Reckoned::Unanswered, None));
-                    driver.counted_late(name, amount, end);
+                    results.counted_late(name, amount, end);
                     link
                 }
             };
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -4,12 +4,13 @@
 use crate::admission::Fault;
 use crate::backend::{Finish, Message, Payload, Pool};
 use crate::clock::Clock;
-use crate::counter::Counter;
+use crate::counter::{Counter, Results};
 use crate::discovery::{list_kind, Endpoint, List, Status};
 use crate::flow::Answered;
 use caperwind::{
-    Action, Arrival, AttemptIx, BackendId, BackendRow, BackendState, CellIx, Config, Ended, Event, Gateway,
-    KindIx, Legacy, ListKind, Micros, Outcome, Reckoned, Refusals, RequestId, Spent, TimerToken, ZoneIx,
+    Action, Arrival, AttemptIx, BackendId, BackendRow, BackendState, CellIx, Config, CountName, Ended, Event,
+    Gateway, KindIx, Legacy, ListKind, Micros, Outcome, Reckoned, Refusals, RequestId, Spent, TimerToken,
+    ZoneIx,
 };
 use hyper::{Response, StatusCode};
 use std::cell::{Cell, RefCell};
@@ -468,22 +469,6 @@
         Some(row)
     }
 
-    pub fn counted(&self, name: caperwind::CountName, result: Reckoned, elapsed: Micros) {
-        let place = match result {
-            Reckoned::Total(_) => 0,
-            Reckoned::NotAdded => 1,
-            Reckoned::Unanswered => 2,
-            Reckoned::Overdue => 3,
-        };
-        self.0.core.borrow_mut().tally.calls[place] += 1;
-        self.feed(Event::Counted { name, result, elapsed });
-    }
-
-    pub fn counted_late(&self, name: caperwind::CountName, amount: f64, result: Reckoned) {
-        self.0.core.borrow_mut().tally.calls[4] += u32::from(matches!(result, Reckoned::Total(_)));
-        self.feed(Event::CountedLate { name, amount, result });
-    }
-
     fn feed(&self, event: Event) {
         let mut core = self.0.core.borrow_mut();
         core.events.push_back(event);
@@ -682,6 +667,24 @@
     }
 }
 
+impl Results for Shared {
+    fn counted(&self, name: CountName, result: Reckoned, elapsed: Micros) {
+        let place = match result {
+            Reckoned::Total(_) => 0,
+            Reckoned::NotAdded => 1,
+            Reckoned::Unanswered => 2,
+            Reckoned::Overdue => 3,
+        };
+        self.0.core.borrow_mut().tally.calls[place] += 1;
+        self.feed(Event::Counted { name, result, elapsed });
+    }
+
+    fn counted_late(&self, name: CountName, amount: f64, result: Reckoned) {
+        self.0.core.borrow_mut().tally.calls[4] += u32::from(matches!(result, Reckoned::Total(_)));
+        self.feed(Event::CountedLate { name, amount, result });
+    }
+}
+
 impl Shared {
     /// One line in the log that tells why requests were refused of late and how attempts and calls ended.
     fn report(&self, core: &mut Core) {
