Counter connections settle for 10 ms: a second answer is no other call's total

Cause: counter.rs, Counter::link took the most recently used idle connection at once. The second answer to a call, 3 ms after the first, then came while the next call was out there and was taken for its total. Change: a connection is used again 10 ms after its last answer, as those to backends are. Where connections that have not settled take up all places, a call waits for the first of them. The fakes tell how many connections were open at once.

--- a/node/src/counter.rs
+++ b/node/src/counter.rs
@@ -9,10 +9,13 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
 /// The counter closes what has stood idle for about 10 s or less.
 const IDLE: Duration = Duration::from_secs(3);
+/// A connection is not used again sooner after its last answer. Danger: an answer names no call, and a second one to
+/// the last call, which comes some milliseconds after it, would be taken for the next one's.
+const SETTLE: Duration = Duration::from_millis(10);
 /// How long a connection is kept for an answer that is late already. Danger: until then the call counts as one
 /// that the counter has: a connection that has gone silent holds its place that long.
 const LINGER: Duration = Duration::from_secs(1);
@@ -87,7 +90,7 @@
             let path = format!("/v2/numbers/{:016x}?delta={amount}&life_ms={}", name.0, (keep / 1000).max(1));
             let tell = |result| results.counted(name, result, clock.now().saturating_sub(began));
             let address = counter.address.get();
-            let Some((seat, link)) = counter.link(address, until).await else {
+            let Some((seat, link)) = counter.link(until).await else {
                 return tell(Reckoned::NotAdded);
             };
             let call = ask(link, &path);
@@ -114,17 +117,33 @@
         });
     }
 
-    /// The most recently used idle connection, or a new one.
-    async fn link(self: &Rc<Self>, address: Option<SocketAddr>, until: Instant) -> Option<(Seat, Link)> {
-        loop {
-            let Some((link, since)) = self.idle.borrow_mut().pop() else { break };
+    /// The most recently used idle connection that has settled.
+    fn reuse(&self) -> Option<Link> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(at) = idle.iter().rposition(|(_, since)| since.elapsed() >= SETTLE) {
+            let (link, since) = idle.remove(at);
             if link.usable() && since.elapsed() < IDLE {
+                return Some(link);
+            }
+        }
+        None
+    }
+
+    /// A connection that may be used again, or a new one.
+    async fn link(self: &Rc<Self>, until: Instant) -> Option<(Seat, Link)> {
+        loop {
+            if let Some(link) = self.reuse() {
                 return Some((Seat::take(self)?, link));
             }
+            if let Some(seat) = Seat::take(self) {
+                let made = timeout_at(until, Link::connect(self.address.get()?)).await.ok()?.ok()?;
+                return Some((seat, made));
+            }
+            // Danger: one closed to make room for another is seen by the counter some time later: there would be more
+            // than it holds. Where those that have not settled take up all places, the first of them is waited for.
+            let settled = self.idle.borrow().first().map(|(_, since)| *since + SETTLE)?;
+            timeout_at(until, sleep_until(settled)).await.ok()?;
         }
-        let seat = Seat::take(self)?;
-        let made = timeout_at(until, Link::connect(address?)).await.ok()?.ok()?;
-        Some((seat, made))
     }
 
     /// Drops idle connections before the counter closes them.
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -84,6 +84,10 @@
     Silence,
     /// Answers, ends its sending, and tells when the other side has ended the connection.
     AnswerAndClose(String),
+    /// Writes each piece so many milliseconds after the one before, then goes on.
+    Pieces(Vec<(u64, String)>),
+    /// The same, and resets the connection.
+    PiecesAndReset(Vec<(u64, String)>),
 }
 
 pub fn answer(status: &str, headers: &str, body: &str) -> String {
@@ -108,6 +112,8 @@
     /// Connections that the other side has ended.
     pub ended: Receiver<usize>,
     pub connections: Arc<AtomicUsize>,
+    /// Connections open at once: now, and the most there were.
+    pub open: Arc<(AtomicUsize, AtomicUsize)>,
 }
 
 impl Fake {
@@ -119,17 +125,22 @@
         let address = listener.local_addr().expect("an address");
         let ((tell, seen), (tell_end, ended)) = (channel(), channel());
         let (react, connections) = (Arc::new(react), Arc::new(AtomicUsize::new(0)));
-        let count = connections.clone();
+        let (count, open) = (connections.clone(), Arc::<(AtomicUsize, AtomicUsize)>::default());
+        let held = open.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming() {
                 let conn = count.fetch_add(1, Ordering::SeqCst);
                 let (react, tell, tell_end) = (react.clone(), tell.clone(), tell_end.clone());
+                let held = held.clone();
+                held.1.fetch_max(held.0.fetch_add(1, Ordering::SeqCst) + 1, Ordering::SeqCst);
                 std::thread::spawn(move || {
-                    serve(stream.expect("a connection"), conn, &*react, &tell, &tell_end)
+                    let left = serve(stream.expect("a connection"), conn, &*react, &tell);
+                    held.0.fetch_sub(1, Ordering::SeqCst);
+                    let _ = left.then(|| tell_end.send(conn));
                 });
             }
         });
-        Fake { address, seen, ended, connections }
+        Fake { address, seen, ended, connections, open }
     }
 
     pub fn next(&self) -> Seen {
@@ -167,28 +178,36 @@
     }
 }
 
-fn serve(
-    stream: TcpStream,
-    conn: usize,
-    react: &dyn Fn(&Seen) -> Reaction,
-    tell: &Sender<Seen>,
-    ended: &Sender<usize>,
-) {
+/// Serves a connection; returns whether it was the other side that ended it.
+fn serve(stream: TcpStream, conn: usize, react: &dyn Fn(&Seen) -> Reaction, tell: &Sender<Seen>) -> bool {
     let mut out = stream.try_clone().expect("a second handle");
+    out.set_nodelay(true).expect("an option");
     let mut from = BufReader::new(stream);
+    let write = |mut out: &TcpStream, pieces: Vec<(u64, String)>| {
+        for (after, text) in pieces {
+            std::thread::sleep(Duration::from_millis(after));
+            let _ = out.write_all(text.as_bytes());
+        }
+    };
     while let Some(seen) = read_message(&mut from, conn) {
         let _ = tell.send(seen.clone());
         match react(&seen) {
             Reaction::Answer(text) => drop(out.write_all(text.as_bytes())),
-            Reaction::Break => return,
+            Reaction::Break => return false,
             Reaction::Silence => continue,
             Reaction::AnswerAndClose(text) => {
                 let _ = out.write_all(text.as_bytes());
                 let _ = out.shutdown(std::net::Shutdown::Write);
             }
+            Reaction::Pieces(pieces) => write(&out, pieces),
+            Reaction::PiecesAndReset(pieces) => {
+                write(&out, pieces);
+                SockRef::from(&out).set_linger(Some(Duration::ZERO)).expect("an option");
+                return false;
+            }
         }
     }
-    let _ = ended.send(conn);
+    true
 }
 
 /// Discovery: a list that tests change, and watches that wait for that.
