Handover: last words go to one process and are written before the end; silent talkers make way

Causes, all in handover.rs: 1. Handover::end waited on a Notify that any earlier talk's writer had already set: in the second upgrade in a row the process ended before its last words were written. Shown: 3 of 4 units on the counter, for good. 2. Handover::end told all others: where the middle one of three processes ended first, both others added what it left. Shown: 8 units for 7 spent. 3. Handover::wait dropped every new process once two talkers were there, whatever these said: with three that connect and say nothing the next process began knowing nothing ('none before this one'). Change: the last words go to one process (the one that goes on after this one, or else the newest that has said a word), and the end waits for that talk's own writer. A talker that has said nothing makes way for one that comes, and is let go after 10 s: for that long the gateway spends half of its part for two. Tests: the above; six kinds of odd talker that go or stay; a folder that is not there, not writable, or has something else in the socket's place (held before); SIGTERM before the new one is ready (held before).

--- a/node/src/handover.rs
+++ b/node/src/handover.rs
@@ -15,9 +15,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::unix::OwnedReadHalf;
+use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{UnixListener, UnixStream};
-use tokio::sync::{mpsc, watch, Notify};
+use tokio::sync::{mpsc, watch};
+use tokio::task::{AbortHandle, JoinHandle};
 use tokio::time::{sleep, timeout};
 
 /// What a predecessor knows is waited for so long: the new process must be ready in 6 s, with or without.
@@ -26,6 +27,8 @@
 const LAST_WORDS: Duration = Duration::from_millis(200);
 /// A word longer than this is none of ours.
 const MOST_BYTES: u64 = 8 << 20;
+/// Who comes must say something this soon: it is to be ready in 6 s, and says so.
+const FIRST_WORD: Duration = Duration::from_secs(10);
 /// Processes of one gateway that are spoken to: one that came before and one that comes after.
 const MOST_OTHERS: usize = 2;
 
@@ -76,25 +79,33 @@
     unsafe { TcpListener::from_raw_fd(fd) }
 }
 
+/// The talk with another process.
+struct Talk {
+    tell: mpsc::UnboundedSender<String>,
+    /// Whether it has said a word.
+    heard: bool,
+    reader: AbortHandle,
+    writer: JoinHandle<()>,
+}
+
 /// The other processes of this gateway, as far as they can be reached.
 pub struct Handover {
     driver: Shared,
     path: Option<PathBuf>,
-    others: RefCell<BTreeMap<u64, mpsc::UnboundedSender<String>>>,
+    others: RefCell<BTreeMap<u64, Talk>>,
     next: Cell<u64>,
     /// What the others hold; `None` while there are none.
     held: watch::Sender<Option<Held>>,
     /// The number of a successor that serves.
     successor: Cell<Option<u64>>,
-    left: Notify,
 }
 
 impl Handover {
     /// Takes over what a process that runs already knows, and waits for the next one.
     pub async fn join(driver: Shared, path: Option<PathBuf>) -> Rc<Self> {
         let (others, next, successor) = (RefCell::default(), Cell::new(0), Cell::new(None));
-        let (held, left) = (watch::channel(None).0, Notify::new());
-        let this = Rc::new(Handover { driver, path, others, next, held, successor, left });
+        let held = watch::channel(None).0;
+        let this = Rc::new(Handover { driver, path, others, next, held, successor });
         let Some(path) = this.path.clone() else { return this };
         // Absent, stale, silent or cut off: this process begins with what it has been told at its start.
         match timeout(TELL, this.meet(&path)).await {
@@ -125,20 +136,21 @@
     }
 
     pub fn tell(&self, word: &Word) {
-        let Ok(mut line) = serde_json::to_string(word) else { return };
-        line.push('\n');
-        self.others.borrow().values().for_each(|o| drop(o.send(line.clone())));
+        let line = line(word);
+        self.others.borrow().values().for_each(|o| drop(o.tell.send(line.clone())));
     }
 
-    /// Tells the others what this process leaves, and ends the talk once that is written.
+    /// Tells another process what this one leaves, and ends all talk once that is written. Danger: where two are
+    /// told, both add it: the one that goes on after this one is, or else the one that came last.
     pub async fn end(&self) {
-        if !self.paired() {
-            return;
-        }
-        self.tell(&Word::Spent(self.driver.spent()));
-        self.others.borrow_mut().clear();
+        let mut others = std::mem::take(&mut *self.others.borrow_mut());
+        let successor = self.successor.get();
+        let heir = others.iter().max_by_key(|(id, o)| (successor == Some(**id), o.heard, **id));
+        let Some(heir) = heir.map(|(id, _)| *id).and_then(|id| others.remove(&id)) else { return };
+        drop(heir.tell.send(line(&Word::Spent(self.driver.spent()))));
         // The writer that has nothing left to write ends.
-        let _ = timeout(LAST_WORDS, self.left.notified()).await;
+        drop(heir.tell);
+        let _ = timeout(LAST_WORDS, heir.writer).await;
     }
 
     async fn meet(self: &Rc<Self>, path: &Path) -> Result<(), String> {
@@ -153,7 +165,7 @@
         self.driver.inherit(module);
         barred.iter().for_each(|name| self.driver.bar(name, true));
         self.driver.drain(draining);
-        self.talk(from, to);
+        self.talk(from, to, true);
         Ok(())
     }
 
@@ -164,50 +176,63 @@
                 sleep(Duration::from_millis(100)).await;
                 continue;
             };
-            if self.others.borrow().len() >= MOST_OTHERS {
+            if self.others.borrow().len() >= MOST_OTHERS && !self.make_way() {
                 continue;
             }
             let (list, barred) = self.driver.listed();
             let (draining, module) = (self.driver.draining(), self.driver.legacy());
             let state = Word::State(Box::new(State { list, barred, draining, module }));
             let (from, to) = stream.into_split();
-            let id = self.talk(BufReader::new(from), to);
-            if let (Ok(line), Some(to)) = (serde_json::to_string(&state), self.others.borrow().get(&id)) {
-                drop(to.send(line + "\n"));
-            }
+            let tell = self.talk(BufReader::new(from), to, false);
+            drop(tell.send(line(&state)));
         }
     }
 
+    /// Lets go of the first that has said nothing: a process that hangs must not keep another one from its place.
+    fn make_way(&self) -> bool {
+        let silent = self.others.borrow().iter().find(|(_, o)| !o.heard).map(|(id, _)| *id);
+        silent.inspect(|id| self.leaves(*id)).is_some()
+    }
+
     /// Keeps up the talk with another process until either ends it.
     fn talk(
         self: &Rc<Self>,
         mut from: BufReader<OwnedReadHalf>,
-        mut to: tokio::net::unix::OwnedWriteHalf,
-    ) -> u64 {
+        mut to: OwnedWriteHalf,
+        heard: bool,
+    ) -> mpsc::UnboundedSender<String> {
         let id = self.next.replace(self.next.get() + 1);
         let (tell, mut words) = mpsc::unbounded_channel::<String>();
-        self.others.borrow_mut().insert(id, tell);
-        self.changed();
-        let this = self.clone();
-        tokio::task::spawn_local(async move {
+        let writer = tokio::task::spawn_local(async move {
             while let Some(line) = words.recv().await {
                 if to.write_all(line.as_bytes()).await.is_err() {
                     break;
                 }
             }
-            this.left.notify_one();
         });
         let this = self.clone();
-        tokio::task::spawn_local(async move {
-            while let Some(word) = hear(&mut from).await {
+        let reader = tokio::task::spawn_local(async move {
+            let mut patience = if heard { Duration::MAX } else { FIRST_WORD };
+            while let Ok(Some(word)) = timeout(patience, hear(&mut from)).await {
+                patience = Duration::MAX;
                 this.heed(id, word);
             }
-            this.others.borrow_mut().remove(&id);
-            this.successor.set(this.successor.get().filter(|s| *s != id));
-            this.changed();
-            eprintln!("handover: the other process is gone");
+            this.leaves(id);
         });
-        id
+        let talk = Talk { tell: tell.clone(), heard, reader: reader.abort_handle(), writer };
+        self.others.borrow_mut().insert(id, talk);
+        self.changed();
+        tell
+    }
+
+    /// The talk with this one is over.
+    fn leaves(&self, id: u64) {
+        let Some(talk) = self.others.borrow_mut().remove(&id) else { return };
+        talk.reader.abort();
+        talk.writer.abort();
+        self.successor.set(self.successor.get().filter(|s| *s != id));
+        self.changed();
+        eprintln!("handover: the other process is gone");
     }
 
     fn changed(&self) {
@@ -217,6 +242,7 @@
     }
 
     fn heed(&self, id: u64, word: Word) {
+        self.others.borrow_mut().entry(id).and_modify(|o| o.heard = true);
         match word {
             Word::Serving => self.successor.set(Some(id)),
             Word::Bar { name, out } => self.driver.bar(&name, out),
@@ -229,6 +255,11 @@
     }
 }
 
+fn line(word: &Word) -> String {
+    // What can't be said is no word to who hears it.
+    serde_json::to_string(word).unwrap_or_default() + "\n"
+}
+
 /// The next word; `None` where the talk has ended, or says what is no word.
 async fn hear(from: &mut BufReader<OwnedReadHalf>) -> Option<Word> {
     let mut line = Vec::new();
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -294,17 +294,39 @@
     }
 }
 
-/// A counter that keeps numbers and answers as it should.
-pub fn counter() -> Fake {
-    let numbers: Mutex<HashMap<String, f64>> = Mutex::default();
-    Fake::start(move |seen| {
-        let (name, query) = seen.path().split_once('?').expect("a query");
+/// What a counter keeps, under whatever addresses.
+#[derive(Clone, Default)]
+pub struct Numbers(Arc<Mutex<HashMap<String, f64>>>);
+
+impl Numbers {
+    /// Carries out a call; returns the total.
+    pub fn add(&self, call: &Seen) -> String {
+        let (name, query) = call.path().split_once('?').expect("a query");
         let delta = query.split('&').find_map(|p| p.strip_prefix("delta=")).expect("an amount");
-        let mut numbers = numbers.lock().expect("unpoisoned");
+        let mut numbers = self.0.lock().expect("unpoisoned");
         let total = numbers.entry(name.to_owned()).or_default();
         *total += delta.parse::<f64>().expect("a number");
-        ok(&total.to_string())
-    })
+        total.to_string()
+    }
+
+    /// Waits until all numbers together come to so much.
+    pub fn come_to(&self, sum: f64) {
+        let until = Instant::now() + LONG;
+        while self.sum() != sum {
+            assert!(Instant::now() < until, "{} of {sum} units", self.sum());
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    pub fn sum(&self) -> f64 {
+        self.0.lock().expect("unpoisoned").values().sum()
+    }
+}
+
+/// A counter that keeps numbers and answers as it should.
+pub fn counter() -> Fake {
+    let numbers = Numbers::default();
+    Fake::start(move |seen| ok(&numbers.add(seen)))
 }
 
 /// Settings as the first message gives them; the plan `llano` has the rate and burst given.
--- a/node/tests/counter.rs
+++ b/node/tests/counter.rs
@@ -12,7 +12,7 @@
 use std::rc::Rc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
-use std::sync::{Arc, Mutex};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 use tokio::runtime::{Builder, LocalOptions};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
@@ -357,19 +357,13 @@
 /// and turned away. What both addresses have added is what was spent.
 #[test]
 fn what_was_spent_is_added_once_whatever_moves() {
-    let numbers: Arc<Mutex<HashMap<String, f64>>> = Arc::default();
+    let numbers = Numbers::default();
     let address = |delay: u64| {
         let (numbers, calls) = (numbers.clone(), AtomicUsize::new(0));
         Fake::start(move |seen| {
-            if calls.fetch_add(1, Ordering::SeqCst) % 3 == 2 {
-                return Reaction::Pieces(vec![(delay, answer("503 No", "", ""))]);
-            }
-            let (name, query) = seen.path().split_once('?').expect("a query");
-            let delta = query.split('&').find_map(|p| p.strip_prefix("delta=")).expect("an amount");
-            let mut numbers = numbers.lock().expect("unpoisoned");
-            let sum = numbers.entry(name.to_owned()).or_default();
-            *sum += delta.parse::<f64>().expect("a number");
-            Reaction::Pieces(vec![(delay, total(&sum.to_string()))])
+            let away = calls.fetch_add(1, Ordering::SeqCst) % 3 == 2;
+            let answer = if away { answer("503 No", "", "") } else { total(&numbers.add(seen)) };
+            Reaction::Pieces(vec![(delay, answer)])
         })
     };
     let (old, new, backend) = (address(120), address(40), Fake::start(|_| ok("x")));
@@ -386,14 +380,12 @@
         }
         gateway.reload(discovery.fake.address, to.address);
     }
-    let sum = || numbers.lock().expect("unpoisoned").values().sum::<f64>();
-    let until = Instant::now() + LONG;
-    while sum() != spent {
-        assert!(Instant::now() < until, "{} of {spent} units: {:?}", sum(), numbers.lock());
-        std::thread::sleep(Duration::from_millis(20));
-    }
+    numbers.come_to(spent);
     // Nothing more is owed, and nothing comes to the address that was left.
     old.seen.try_iter().for_each(drop);
     std::thread::sleep(Duration::from_millis(1_500));
-    assert_eq!((sum(), old.seen.try_iter().count(), old.open.0.load(Ordering::SeqCst)), (spent, 0, 0));
+    assert_eq!(
+        (numbers.sum(), old.seen.try_iter().count(), old.open.0.load(Ordering::SeqCst)),
+        (spent, 0, 0)
+    );
 }
--- a/node/tests/handover.rs
+++ b/node/tests/handover.rs
@@ -3,20 +3,36 @@
 mod common;
 
 use common::*;
-use std::os::unix::net::UnixListener;
+use std::fs::Permissions;
+use std::io::{Read, Write};
+use std::os::unix::fs::PermissionsExt;
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 struct Scene {
     start: Start,
     discovery: Discovery,
     counter: Fake,
+    numbers: Numbers,
+    /// Whether the counter turns calls away.
+    away: Arc<AtomicBool>,
 }
 
 impl Scene {
     fn new(backends: &[&Fake]) -> Self {
         let entries =
             backends.iter().enumerate().map(|(i, b)| entry(&format!("s-{i}"), b.address, "SERVING"));
-        let start = Start { platform: Some(Platform::new()), ..Start::default() };
-        Scene { start, discovery: Discovery::start(entries.collect()), counter: counter() }
+        // A window of a minute.
+        let start = Start { platform: Some(Platform::new()), rate: 100.0, burst: 6000.0, ..Start::default() };
+        let (numbers, away) = (Numbers::default(), Arc::<AtomicBool>::default());
+        let (adds, turns) = (numbers.clone(), away.clone());
+        let counter = Fake::start(move |call| match turns.load(Ordering::SeqCst) {
+            true => Reaction::Answer(answer("503 No", "", "")),
+            false => ok(&adds.add(call)),
+        });
+        Scene { start, discovery: Discovery::start(entries.collect()), counter, numbers, away }
     }
 
     /// One more process of the gateway.
@@ -26,6 +42,12 @@
         process
     }
 
+    /// Where its processes meet.
+    fn socket(&self) -> std::path::PathBuf {
+        let address = self.start.platform.as_ref().expect("a platform").address();
+        self.folder().join(format!("{address}.sock"))
+    }
+
     fn folder(&self) -> &std::path::Path {
         &self.start.platform.as_ref().expect("a platform").folder
     }
@@ -80,13 +102,12 @@
     let backend = Fake::start(|_| ok("x"));
     for odd in [None, Some(&b""[..]), Some(b"{\"state\":{\"list\":"), Some(b"[1,2]\n{}\n")] {
         let scene = Scene::new(&[&backend]);
-        let address = scene.start.platform.as_ref().expect("a platform").address();
-        let other = UnixListener::bind(scene.folder().join(format!("{address}.sock"))).expect("a socket");
+        let other = UnixListener::bind(scene.socket()).expect("a socket");
         // A stale one is in the folder with nobody behind it.
         let talk = odd.map(|text| {
             std::thread::spawn(move || {
                 let (mut talk, _) = other.accept().expect("a caller");
-                std::io::Write::write_all(&mut talk, text).expect("it listens");
+                talk.write_all(text).expect("it listens");
             })
         });
         let process = scene.process();
@@ -94,3 +115,141 @@
         talk.into_iter().for_each(|t| t.join().expect("the talk"));
     }
 }
+
+/// Guards against units that a process leaves and nobody adds, or two do: over upgrades in a row, and where the one
+/// in the middle of three ends first.
+#[test]
+fn what_a_process_leaves_is_added_once() {
+    for three in [false, true] {
+        let backend = Fake::start(|_| ok("x"));
+        let scene = Scene::new(&[&backend]);
+        let mut spent = 0.0;
+        let mut ask = |client: &mut Client| {
+            assert_eq!(client.ask(&request("consulta", 1, 3000)).status(), 200);
+            spent += 1.0;
+            spent
+        };
+        let mut first = scene.process();
+        ask(&mut first.client());
+        let mut middle = scene.process();
+        if !three {
+            first.terminate();
+            assert!(first.wait().success());
+        }
+        // A connection that the middle one has accepted.
+        let passed = || middle.figures()["passed"]["consulta"].as_u64();
+        let mut client = loop {
+            let (mut client, before) = (middle.client(), passed());
+            ask(&mut client);
+            if passed() > before {
+                break client;
+            }
+        };
+        let last = scene.process();
+        scene.numbers.come_to(ask(&mut client));
+        // It ends with units that it could not tell the counter.
+        scene.away.store(true, Ordering::SeqCst);
+        let spent = ask(&mut client);
+        middle.terminate();
+        assert!(middle.wait().success());
+        scene.away.store(false, Ordering::SeqCst);
+        scene.numbers.come_to(spent);
+        std::thread::sleep(Duration::from_millis(1_500));
+        assert_eq!(scene.numbers.sum(), spent, "three: {three}");
+        assert_eq!(last.call("GET /ready").status(), 200);
+    }
+}
+
+/// Guards against a handover that others on its socket prevent, whatever they say or leave out: the next process is
+/// told all the same, and what operators say then reaches both.
+#[test]
+fn odd_talkers_do_not_keep_the_next_process_from_being_told() {
+    let talkers: [(&str, Vec<u8>); 6] = [
+        ("silence", Vec::new()),
+        ("half a line", b"{\"bar\":{\"name\":\"s-0\",\"out\":tr".to_vec()),
+        ("no word", b"[1,2]\n".to_vec()),
+        ("no text", vec![0xff; 1000]),
+        (
+            "a state",
+            b"{\"state\":{\"list\":{\"index\":1,\"snapshot\":true,\"endpoints\":[]},\"barred\":[]}}\n"
+                .to_vec(),
+        ),
+        ("a long line", vec![b' '; 9 << 20]),
+    ];
+    for (what, words) in talkers {
+        for stays in [false, true] {
+            let backends = [Fake::start(|_| ok("0")), Fake::start(|_| ok("1"))];
+            let scene = Scene::new(&[&backends[0], &backends[1]]);
+            let old = scene.process();
+            let talks: Vec<UnixStream> = (0..3)
+                .map(|_| {
+                    let mut talk = UnixStream::connect(scene.socket()).expect("it listens");
+                    // It may be cut off in the middle.
+                    let _ = talk.write_all(&words);
+                    talk
+                })
+                .filter(|_| stays)
+                .collect();
+            let new = scene.process();
+            assert!(new.log().contains("another process of this gateway serves"), "{what}: {}", new.log());
+            assert_eq!(old.call("PUT /backends/disable?id=s-1").status(), 200);
+            let until = Instant::now() + LONG;
+            while new.figures()["skipped_backends"] != 1 {
+                assert!(Instant::now() < until, "{what}: the new one is not told");
+            }
+            assert_eq!(new.client().ask(&request("consulta", 1, 2000)).body, b"0", "{what}");
+            drop(talks);
+        }
+    }
+}
+
+/// Guards against a start that fails, or work that is not done, for want of a place to meet.
+#[test]
+fn a_process_serves_without_a_place_to_meet() {
+    let backend = Fake::start(|_| ok("x"));
+    let spoil: [fn(&Scene); 4] = [
+        |scene| std::fs::remove_dir(scene.folder()).expect("it is empty"),
+        |scene| std::fs::set_permissions(scene.folder(), Permissions::from_mode(0o555)).expect("it is ours"),
+        |scene| std::fs::create_dir(scene.socket()).expect("it is ours"),
+        |scene| std::fs::write(scene.socket(), "no socket").expect("it is ours"),
+    ];
+    for spoil in spoil {
+        let scene = Scene::new(&[&backend]);
+        spoil(&scene);
+        let mut process = scene.process();
+        assert_eq!(process.client().ask(&request("consulta", 1, 2000)).status(), 200);
+        process.terminate();
+        assert!(process.wait().success());
+    }
+}
+
+/// Guards against requests lost where the old process is told to end before the new one is ready.
+#[test]
+fn an_old_process_that_ends_too_soon_loses_nothing() {
+    let backend = Fake::start(|_| ok("x"));
+    let scene = Scene::new(&[&backend]);
+    let mut old = scene.process();
+    let new = Gateway::launch(&scene.start, scene.discovery.fake.address, scene.counter.address);
+    old.terminate();
+    let until = Instant::now() + Duration::from_secs(2);
+    while Instant::now() < until {
+        assert_eq!(new.client().ask(&request("consulta", 1, 2000)).status(), 200);
+    }
+    assert!(old.wait().success());
+    new.serves();
+}
+
+/// Guards against half of the quota left unused for a process that hangs: it is given longer than it may take to be
+/// ready, and let go.
+#[test]
+fn a_talker_that_says_nothing_is_let_go() {
+    let scene = Scene::new(&[]);
+    let began = Instant::now();
+    let _process = Gateway::start(&scene.start, scene.discovery.fake.address, scene.counter.address);
+    let mut talk = UnixStream::connect(scene.socket()).expect("it listens");
+    talk.set_read_timeout(Some(LONG)).expect("a time-out");
+    let mut told = String::new();
+    talk.read_to_string(&mut told).expect("it ends");
+    assert!(told.starts_with("{\"state\":") && told.ends_with('\n'), "{told}");
+    assert!(began.elapsed() > Duration::from_secs(6), "{:?}", began.elapsed());
+}
