Operators' door: a call is heard before later callers take its place

Cause: ops.rs, Door::accept took connection after connection without letting their tasks run. Where more than eight stood in the door's line (the process had no processor for a moment), the ninth cut off the first before it was read at all. Shown: 3 calls, then 60 silent callers, queued while the process stood still: the calls got no answer. Change: after each connection the others have their turn. Tests: the above; 19 odd calls (pipelined, bodies over 1024 bytes and of 4 MB, broken chunks, two lengths, id twice, empty, percent-encoded, 7,000 and 14,000 bytes long): one answer each within 1 s, nothing else done, the connection ended without a reset; a call in pieces over 2 s beside silent callers; disable and enable of a backend that has gone; drain and undrain in 50 quick turns; calls from SIGTERM to the last moment (all held before).

--- a/node/src/ops.rs
+++ b/node/src/ops.rs
@@ -17,7 +17,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::AbortHandle;
+use tokio::task::{yield_now, AbortHandle};
 use tokio::time::{sleep, timeout};
 
 /// A call must be over this long after its connection came.
@@ -70,6 +70,8 @@
             let door = self.clone();
             let task = tokio::task::spawn_local(async move { drop(timeout(CALL, door.serve(stream)).await) });
             callers.push_back(task.abort_handle());
+            // Danger: of many that stand in the line, the first would make way before it was heard at all.
+            yield_now().await;
         }
     }
 
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -607,7 +607,7 @@
 }
 
 impl Client {
-    fn over(stream: TcpStream) -> Self {
+    pub fn over(stream: TcpStream) -> Self {
         stream.set_read_timeout(Some(LONG)).expect("a time-out");
         Client { from: BufReader::new(stream) }
     }
@@ -616,6 +616,11 @@
         self.from.get_mut().write_all(text.as_bytes()).expect("the gateway reads");
     }
 
+    /// Sends as much as is taken: the other side may have answered and closed.
+    pub fn push(&mut self, text: &str) {
+        let _ = self.from.get_mut().write_all(text.as_bytes());
+    }
+
     pub fn leave(mut self, how: Leave) {
         if let Leave::CloseBehind(n) | Leave::ResetBehind(n) = how {
             self.send(&"x".repeat(n));
--- a/node/tests/ops.rs
+++ b/node/tests/ops.rs
@@ -124,3 +124,120 @@
     assert!(client.ask(&request("consulta", 5, 2000)).status() >= 429);
     assert_eq!(gateway.figures()["dropped"]["consulta"], 1);
 }
+
+/// Guards against a call that is cut off before it was heard: it came first of many that stood in the door's line
+/// while the process had no processor, the others say nothing.
+#[test]
+fn a_call_that_came_before_silent_callers_is_answered() {
+    let backend = Fake::start(|_| ok("x"));
+    let (gateway, _discovery, _counter) = gateway(&[&backend]);
+    gateway.signal("-STOP");
+    let mut calls: Vec<Client> = (0..3).map(|_| gateway.caller()).collect();
+    calls.iter_mut().for_each(|c| c.send("GET /ready HTTP/1.1\r\nhost: t\r\n\r\n"));
+    let mut silent: Vec<Client> = (0..60).map(|_| gateway.caller()).collect();
+    let mut last = gateway.caller();
+    last.send("GET /ready HTTP/1.1\r\nhost: t\r\n\r\n");
+    silent.extend((0..3).map(|_| gateway.caller()));
+    let began = Instant::now();
+    gateway.signal("-CONT");
+    for (n, call) in calls.iter_mut().chain([&mut last]).enumerate() {
+        assert_eq!(call.answer().map(|a| a.status()), Some(200), "call {n}");
+    }
+    assert!(began.elapsed() < Duration::from_secs(1), "{:?}", began.elapsed());
+}
+
+/// Guards against calls that are heard in part, twice or not at all, and against an answer that its caller can't read:
+/// what is sent in pieces, too much or in odd forms.
+#[test]
+fn odd_calls_get_their_one_answer_and_do_only_what_they_say() {
+    let backend = Fake::start(|_| ok("x"));
+    let (gateway, discovery, _counter) = gateway(&[&backend]);
+    let call = |line: &str, rest: &str| format!("{line} HTTP/1.1\r\nhost: t\r\n{rest}");
+    let long = "y".repeat(7000);
+    let cases = [
+        // Clients' bytes behind a call are no call.
+        (call("GET /ready", "\r\n") + &call("PUT /drain", "\r\n"), 200),
+        (call("GET /ready", "\r\n").repeat(3000), 200),
+        (call("GET /ready", "content-length: 1024\r\n\r\n") + &"x".repeat(1024), 200),
+        (call("PUT /drain", "content-length: 1025\r\n\r\n") + &"x".repeat(1025), 400),
+        (call("PUT /drain", "content-length: 4000000\r\n\r\n") + &"x".repeat(4_000_000), 400),
+        (
+            call("PUT /drain", "transfer-encoding: chunked\r\n\r\n400\r\n")
+                + &"x".repeat(1024)
+                + "\r\n1\r\nx\r\n0\r\n\r\n",
+            400,
+        ),
+        (call("PUT /drain", "transfer-encoding: chunked\r\n\r\nzz\r\n"), 400),
+        (call("PUT /drain", "content-length: 0\r\ncontent-length: 5\r\n\r\n"), 400),
+        (call("PUT /backends/disable?id=s-0&id=s-0", "\r\n"), 400),
+        (call("PUT /backends/disable?id=", "\r\n"), 404),
+        (call("PUT /backends/disable?ID=s-0", "\r\n"), 400),
+        (call("PUT /backends/disable?id=s-0%00", "\r\n"), 404),
+        (call("PUT /backends/disable?id=%ff%zz", "\r\n"), 404),
+        (call(&format!("PUT /backends/disable?id={long}"), "\r\n"), 404),
+        (call(&format!("PUT /backends/disable?id={long}{long}"), "\r\n"), 431),
+        (call("PUT /backends/enable?id=s-0", "\r\n"), 200),
+        (call("PUT /backends/enable?x=1&id=s%2D0", "\r\n"), 200),
+        (call("PUT /drain/", "\r\n"), 404),
+        (call("PUT http://t/undrain", "\r\n"), 200),
+    ];
+    for (text, status) in cases {
+        let shown = &text[..text.len().min(80)];
+        let began = Instant::now();
+        let mut caller = gateway.caller();
+        caller.push(&text);
+        assert_eq!(caller.answer().map(|a| a.status()), Some(status), "{shown}");
+        assert!(caller.at_end(), "{shown}: it is not ended well");
+        assert!(began.elapsed() < Duration::from_secs(1), "{shown}: {:?}", began.elapsed());
+        assert_eq!(gateway.call("GET /ready").status(), 200, "{shown}");
+        assert_eq!(gateway.figures()["skipped_backends"], 0, "{shown}");
+    }
+    // In pieces over 2.5 s, with silent callers beside it; another beyond 3 s is over.
+    let mut callers = [gateway.caller(), gateway.caller()];
+    let text = call("PUT /backends/disable?id=s-0", "content-length: 2\r\n\r\nxy");
+    let _silent: Vec<Client> = (0..6).map(|_| gateway.caller()).collect();
+    for piece in text.as_bytes().chunks(text.len() / 10 + 1) {
+        let piece = String::from_utf8_lossy(piece);
+        callers[0].send(&piece);
+        callers[1].send(&piece[..piece.len() - 1]);
+        std::thread::sleep(Duration::from_millis(240));
+    }
+    assert_eq!(callers[0].answer().map(|a| a.status()), Some(200));
+    assert!(callers[1].ended_or_failed());
+    assert_eq!(gateway.figures()["skipped_backends"], 1);
+    // Out by hand and gone; a second way back in is a way in for none.
+    discovery.set(vec![entry("s-0", backend.address, "DELETED")]);
+    discovery.settled();
+    let statuses = ["disable", "enable", "enable", "disable"]
+        .map(|what| gateway.call(&format!("PUT /backends/{what}?id=s-0")).status());
+    assert_eq!(statuses, [200, 200, 404, 404]);
+}
+
+/// Guards against a drain that outlives its end, and against a process that ends and is told otherwise: calls in quick
+/// turns, up to its last moment, while clients are served.
+#[test]
+fn calls_in_quick_turns_and_at_the_end() {
+    let backend = Fake::start(|_| ok("x"));
+    let (mut gateway, _discovery, _counter) = gateway(&[&backend]);
+    for round in 0..50 {
+        assert_eq!(gateway.call("PUT /drain").status(), 200);
+        assert_eq!(gateway.client().ask(&request("consulta", round, 2000)).status(), 200);
+        assert_eq!(gateway.call("PUT /undrain").status(), 200);
+        assert_eq!((gateway.health(), gateway.call("GET /ready").status()), (Some(200), 200));
+    }
+    gateway.terminate();
+    while gateway.call("GET /ready").status() == 200 {}
+    let (mut answered, mut cut) = (0, 0);
+    while let Ok(stream) = std::net::TcpStream::connect(gateway.ops) {
+        let mut caller = Client::over(stream);
+        caller.push(&format!("{} HTTP/1.1\r\nhost: t\r\n\r\n", ["PUT /undrain", "GET /ready"][answered % 2]));
+        match caller.answer() {
+            Some(answer) => assert_eq!(answer.status(), [200, 503][answered % 2]),
+            None => cut += 1,
+        }
+        answered += 1;
+    }
+    assert!(gateway.wait().success());
+    // One that crosses the very end is cut off with the process.
+    assert!(answered > 20 && cut <= 1, "{cut} of {answered} cut off");
+}
