Keep the lower of two limits on descriptors, and clients that are about to ask

Cause: with idle clients in all 102 places (limit 256), the only silent connection was the one that had just come: make_way() cut it for the next one (server.rs, rank() had no age). Half heads make way after 300 ms, but room() gave a newcomer up after 100 ms. make_way() chose the same connection again and again where that was held up by an answer its client does not take. Bounds::of() went by the file alone, also where the process has fewer descriptors, and clamped its shares to 8 where the limit could not be kept. The ops door took up to 128 callers in one go: an aborted task keeps its socket until the runtime comes to it; a call was cut before it was heard.

Change: who has said nothing makes way after 50 ms; where such newcomers are as many as the others, nobody else leaves for them. A newcomer waits up to 400 ms. Who was told to leave is not told twice. The lower of limits.sockets and RLIMIT_NOFILE holds (crate rlimit), under 100 is one plain error line at the start, and the start's line names the number. The door lets a caller in once the one before has left, and hears it first.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -11,7 +11,11 @@
 
 /// Descriptors that belong to none of the pools: the runtime's and the log's, the listener, one that is
 /// being accepted, discovery before and after a reload, and those that are closed but not yet given back.
-const SPARE_SOCKETS: usize = 24;
+const SPARE_DESCRIPTORS: usize = 24;
+/// Nothing moves with fewer connections to clients, or to backends, than this.
+const LEAST_SHARE: usize = 8;
+/// Where the file states no limit, or a higher one.
+const MOST_DESCRIPTORS: usize = 1024;
 /// Operators' connections.
 const OPS_CONNECTIONS: usize = 8;
 /// Connections that the counter holds for one gateway (32), less some for those it has not seen closed; and
@@ -57,11 +61,15 @@
 }
 
 impl Bounds {
-    /// For so many processes together, but `counter`, which is for each.
-    fn of(sockets: usize, processes: usize, counter: usize) -> Self {
-        let left = sockets.saturating_sub(processes * (SPARE_SOCKETS + counter + OPS_CONNECTIONS));
-        let share = (left / 2).max(8);
-        Bounds { clients: share, backends: share, counter }
+    /// For so many processes together, but `counter`, which is for each. A limit that could not be kept is an error.
+    fn of(descriptors: usize, processes: usize, counter: usize) -> Result<Self, String> {
+        let set_apart = processes * (SPARE_DESCRIPTORS + counter + OPS_CONNECTIONS);
+        let least = set_apart + 2 * LEAST_SHARE;
+        if descriptors < least {
+            return Err(format!("limits: {descriptors} descriptors, at least {least} are needed"));
+        }
+        let share = (descriptors - set_apart) / 2;
+        Ok(Bounds { clients: share, backends: share, counter })
     }
 
     /// What another process leaves of what both may hold, and some in any case: without, nothing moves.
@@ -83,6 +91,8 @@
     pub seed: u64,
     pub known: Option<List>,
     pub module: Config,
+    /// Descriptors that all processes of this gateway may hold together.
+    pub descriptors: usize,
     /// Bounds on connections while this process serves alone, and for two together.
     pub alone: Bounds,
     pub paired: Bounds,
@@ -133,7 +143,7 @@
         let idle_close = file.settings.pointer("/policy_limits/idle_close_us").and_then(|v| v.as_u64());
         let idle_close = Duration::from_micros(idle_close.unwrap_or(15_000_000));
         let limits = file.limits.unwrap_or(Limits { sockets: None, memory_mb: None });
-        let sockets = limits.sockets.unwrap_or(1024).min(1024);
+        let descriptors = limits.sockets.unwrap_or(MOST_DESCRIPTORS).min(own_limit());
         let body_bytes = (limits.memory_mb.unwrap_or(32) << 20) / BODY_PART;
         let counter = match file.counter {
             Some(text) => Some(text.parse().map_err(|e| format!("counter {text:?}: {e}"))?),
@@ -160,8 +170,9 @@
             known: file.known,
             module,
             body_bytes,
-            alone: Bounds::of(sockets, 1, COUNTER_CONNECTIONS),
-            paired: Bounds::of(sockets, 2, COUNTER_PAIRED),
+            descriptors,
+            alone: Bounds::of(descriptors, 1, COUNTER_CONNECTIONS)?,
+            paired: Bounds::of(descriptors, 2, COUNTER_PAIRED)?,
             inherited,
             meet,
             ops_connections: OPS_CONNECTIONS,
@@ -172,6 +183,12 @@
     }
 }
 
+/// The process's own limit on descriptors. Danger: the file may allow more than the system does.
+fn own_limit() -> usize {
+    let own = rlimit::Resource::NOFILE.get_soft().ok().and_then(|limit| usize::try_from(limit).ok());
+    own.map_or(MOST_DESCRIPTORS, |own| own.min(MOST_DESCRIPTORS))
+}
+
 fn rough_seed(text: &str) -> u64 {
     text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
 }
--- a/node/src/ops.rs
+++ b/node/src/ops.rs
@@ -17,7 +17,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::AbortHandle;
+use tokio::task::{yield_now, JoinHandle};
 use tokio::time::{sleep, timeout};
 
 /// A call must be over this long after its connection came.
@@ -55,9 +55,9 @@
     }
 
     /// Accepts for as long as the program runs. Danger: callers that say nothing must delay no other: the
-    /// one that came first makes way.
+    /// one that came first makes way, and has left before the next is let in.
     pub async fn accept(self: Rc<Self>, listener: TcpListener) {
-        let mut callers: VecDeque<AbortHandle> = VecDeque::new();
+        let mut callers: VecDeque<JoinHandle<()>> = VecDeque::new();
         loop {
             let Ok((stream, _)) = listener.accept().await else {
                 sleep(Duration::from_millis(10)).await;
@@ -65,11 +65,16 @@
             };
             callers.retain(|c| !c.is_finished());
             while callers.len() >= self.most {
-                callers.pop_front().inspect(|c| c.abort());
+                let Some(caller) = callers.pop_front() else { break };
+                // Danger: an aborted task holds its socket until the runtime has come to it.
+                caller.abort();
+                let _ = caller.await;
             }
             let door = self.clone();
             let task = tokio::task::spawn_local(async move { drop(timeout(CALL, door.serve(stream)).await) });
-            callers.push_back(task.abort_handle());
+            callers.push_back(task);
+            // What it has said by now is heard before another takes its place.
+            yield_now().await;
         }
     }
 
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -39,7 +39,7 @@
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let setup = Setup::from_env()?;
-    let (alone, paired) = (setup.alone, setup.paired);
+    let (alone, paired, descriptors) = (setup.alone, setup.paired, setup.descriptors);
     let listener = match setup.inherited {
         Some(fd) => handover::inherited(fd).and_then(|l| TcpListener::from_std(l).map_err(|e| e.to_string())),
         None => TcpListener::bind(setup.listen).await.map_err(|e| format!("{}: {e}", setup.listen)),
@@ -81,7 +81,7 @@
         serving.tell(&Word::Serving);
         accepts.accept(listener, last).await;
     });
-    eprintln!("{}: listening on {}", setup.name, setup.listen);
+    eprintln!("{}: listening on {}, {descriptors} descriptors", setup.name, setup.listen);
 
     loop {
         tokio::select! {
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -47,8 +47,9 @@
 /// by 2 s, so that no request taken later is in work at 4 s. One that has just come may be about to ask.
 const BY_ANSWER: Duration = Duration::from_millis(1_000);
 const ABOUT_TO_ASK: Duration = Duration::from_millis(50);
-/// How often, and how long each time, a new connection waits for another to make way.
-const ROOM: (u32, Duration) = (10, Duration::from_millis(10));
+/// How often, and how long each time, a new connection waits for another to make way: for longer than `SLOW` in all,
+/// as heads that have all just begun do not make way sooner.
+const ROOM: (u32, Duration) = (40, Duration::from_millis(10));
 /// One line a second at most of what may go wrong at full speed.
 const LOG_EVERY: Duration = Duration::from_secs(1);
 
@@ -68,6 +69,15 @@
     Idle,
 }
 
+/// Which connections make way first, where they run short.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Rank {
+    Silent,
+    Idle,
+    SlowHead,
+    SlowBody,
+}
+
 /// A client's connection as the others see it.
 struct Guest {
     meter: Rc<Meter>,
@@ -79,6 +89,8 @@
     wrote: Cell<(u64, Instant)>,
     pace: Rc<Pace>,
     close: Notify,
+    /// It has been told to make way.
+    leaving: Cell<bool>,
     task: OnceCell<AbortHandle>,
 }
 
@@ -121,14 +133,19 @@
         self.untouched() && self.meter.quiet()
     }
 
+    /// It has just come, has said nothing, and may be about to ask.
+    fn fresh(&self, now: Instant) -> bool {
+        self.phase.get() == Phase::New && self.untouched() && now - self.since.get() < ABOUT_TO_ASK
+    }
+
     /// Where it stands in the line of those that make way; `None` for those that do not.
-    fn rank(&self, now: Instant) -> Option<u8> {
+    fn rank(&self, now: Instant) -> Option<Rank> {
         let age = now - self.since.get();
         match self.phase.get() {
-            Phase::New if self.untouched() => Some(0),
-            Phase::Idle if self.untouched() && age >= SETTLE => Some(1),
-            Phase::New | Phase::Coming if age >= SLOW => Some(2),
-            Phase::Body if age >= SLOW => Some(3),
+            Phase::New if self.untouched() => (age >= ABOUT_TO_ASK).then_some(Rank::Silent),
+            Phase::Idle if self.untouched() && age >= SETTLE => Some(Rank::Idle),
+            Phase::New | Phase::Coming if age >= SLOW => Some(Rank::SlowHead),
+            Phase::Body if age >= SLOW => Some(Rank::SlowBody),
             _ => None,
         }
     }
@@ -338,18 +355,26 @@
         self.guests.borrow().len() < self.most.get()
     }
 
-    /// The one that is missed least leaves: the silent before the idle, these before the slow.
+    /// The one that is missed least leaves: the silent before the idle, these before the slow. Danger: one that was
+    /// told before may still be held up by an answer that its client does not take; it must not hold up the rest. And
+    /// one that has just come may be about to ask; where these are many, they are soon silent, and nobody else leaves.
     fn make_way(&self) {
         let (guests, now) = (self.guests.borrow(), Instant::now());
-        let mut line: Vec<_> =
-            guests.values().filter_map(|g| Some((g.rank(now)?, g.since.get(), g))).collect();
+        let stay = guests.values().filter(|g| !g.leaving.get());
+        let mut line: Vec<_> = stay.filter_map(|g| Some((g.rank(now)?, g.since.get(), g))).collect();
         line.sort_by_key(|(rank, since, _)| (*rank, *since));
-        let leaves =
-            line.into_iter().map(|(rank, _, g)| (rank, g)).find(|(rank, g)| *rank >= 2 || g.nothing_begun());
-        match leaves {
-            Some((1, guest)) => guest.dismiss(),
-            Some((_, guest)) => guest.cut(),
-            None => {}
+        let others = line.len();
+        let begun = |rank| matches!(rank, Rank::SlowHead | Rank::SlowBody);
+        let leaves = line.into_iter().find(|(rank, _, g)| begun(*rank) || g.nothing_begun());
+        let fresh = guests.values().filter(|g| g.fresh(now)).count();
+        let Some((rank, _, guest)) = leaves.filter(|(rank, ..)| *rank == Rank::Silent || fresh < others)
+        else {
+            return;
+        };
+        guest.leaving.set(true);
+        match rank {
+            Rank::Idle => guest.dismiss(),
+            _ => guest.cut(),
         }
     }
 
@@ -396,6 +421,7 @@
             wrote: Cell::new((0, Instant::now())),
             pace: Rc::default(),
             close: Notify::new(),
+            leaving: Cell::new(false),
             task: OnceCell::new(),
         });
         guest.meter.listen();
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -340,6 +340,8 @@
     pub known: Option<String>,
     pub memory_mb: u32,
     pub sockets: u32,
+    /// The process's own limit on descriptors, where it is not the one of the tests.
+    pub descriptors: Option<u32>,
     /// Gateways whose addresses the configuration gives.
     pub peers: u32,
     /// The platform's part, where it holds the clients' socket.
@@ -357,6 +359,7 @@
             known: None,
             memory_mb: 192,
             sockets: 256,
+            descriptors: None,
             peers: 0,
             platform: None,
             changes: &[],
@@ -405,7 +408,12 @@
         );
         std::fs::write(&config, with_peers(&text, discovery, counter))
             .expect("a place for the configuration");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_badgerglade"));
+        let program = env!("CARGO_BIN_EXE_badgerglade");
+        let mut command = Command::new(program);
+        if let Some(limit) = start.descriptors {
+            command = Command::new("sh");
+            command.args(["-c", "ulimit -n \"$1\" && exec \"$0\"", program, &limit.to_string()]);
+        }
         command.env_remove("TMPDIR");
         if let Some(platform) = &start.platform {
             // Without unsafe code, the one descriptor that a test can hand down is the standard input.
@@ -447,6 +455,14 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.pid())).expect("a list").count()
     }
 
+    /// Slots that the kernel has set up for its descriptors: a power of two that only grows. As the lowest free
+    /// slot is taken each time, the process has never held more descriptors at once than this, not for a moment.
+    pub fn descriptor_slots(&self) -> usize {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.pid())).expect("a status");
+        let line = text.lines().find_map(|l| l.strip_prefix("FDSize:")).expect("a figure");
+        line.trim().parse().expect("a number")
+    }
+
     /// What it has written to its log so far.
     pub fn log(&self) -> String {
         std::fs::read_to_string(self.config.with_extension("log")).expect("a log")
