End of a process: calls to the counter end before its last words are said

Cause: process.rs, serve() said the last words (handover.rs, Handover::end) while calls were out; the units of these are in none of them, and one turned away after that was added by nobody. Change: a process that leaves another behind starts no more calls and waits for those that are out, for one call's time at most and not beyond the last moment for answers.

--- a/node/src/counter.rs
+++ b/node/src/counter.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{sleep_until, timeout, timeout_at, Instant};
+use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
 
 /// The counter closes what has stood idle for about 10 s or less.
 const IDLE: Duration = Duration::from_secs(3);
@@ -19,6 +19,8 @@
 /// How long a connection is kept for an answer that is late already. Danger: until then the call counts as one
 /// that the counter has: a connection that has gone silent holds its place that long.
 const LINGER: Duration = Duration::from_secs(1);
+/// How often the end looks whether calls are out.
+const TURN: Duration = Duration::from_millis(2);
 const MOST_BYTES: usize = 1024;
 
 /// Who is told what became of calls.
@@ -37,6 +39,10 @@
     limit: Duration,
     most: Cell<usize>,
     open: Cell<usize>,
+    /// Calls whose result has not been told.
+    out: Cell<usize>,
+    /// Starts no more calls.
+    ended: Cell<bool>,
     /// Made since the last move only.
     idle: RefCell<Vec<(Link, Instant)>>,
 }
@@ -47,7 +53,7 @@
 impl Seat {
     fn take(counter: &Rc<Counter>) -> Option<Self> {
         let open = counter.open.get() + counter.idle.borrow().len();
-        (open < counter.most.get()).then(|| {
+        (open < counter.most.get() && !counter.ended.get()).then(|| {
             counter.open.set(counter.open.get() + 1);
             Seat(counter.clone())
         })
@@ -64,8 +70,8 @@
     pub fn new(address: Option<SocketAddr>, limits: Option<Limits>, most: usize) -> Rc<Self> {
         let limit = Duration::from_micros(limits.map_or(80_000, |l| l.timeout));
         let (address, most) = (Cell::new(address), Cell::new(most));
-        let (open, idle) = (Cell::new(0), RefCell::default());
-        Rc::new(Counter { address, moves: Cell::new(0), limit, most, open, idle })
+        let (open, out, ended, idle) = (Cell::new(0), Cell::new(0), Cell::new(false), RefCell::default());
+        Rc::new(Counter { address, moves: Cell::new(0), limit, most, open, out, ended, idle })
     }
 
     /// From now on holds so many connections at most, once the calls that are out have ended.
@@ -83,16 +89,29 @@
         }
     }
 
+    /// Starts no more calls, and waits for those that are out, up to a call's time and no longer than `until`.
+    pub async fn end(&self, until: Instant) {
+        self.ended.set(true);
+        let until = until.min(Instant::now() + self.limit);
+        while self.out.get() > 0 && Instant::now() < until {
+            sleep(TURN).await;
+        }
+    }
+
     /// Starts a call.
     pub fn call<R>(self: &Rc<Self>, results: R, clock: Clock, name: CountName, amount: f64, keep: Micros)
     where
         R: Results + 'static,
     {
         let (counter, began) = (self.clone(), clock.now());
+        self.out.set(self.out.get() + 1);
         tokio::task::spawn_local(async move {
             let until = Instant::now() + counter.limit;
             let path = format!("/v2/numbers/{:016x}?delta={amount}&life_ms={}", name.0, (keep / 1000).max(1));
-            let tell = |result| results.counted(name, result, clock.now().saturating_sub(began));
+            let tell = |result| {
+                counter.out.set(counter.out.get() - 1);
+                results.counted(name, result, clock.now().saturating_sub(began));
+            };
             let Some((seat, link)) = counter.link(until).await else {
                 return tell(Reckoned::NotAdded);
             };
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -129,6 +129,10 @@
         }
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
+    // Danger: what is turned away after the last words is added by nobody.
+    if others.paired() {
+        counter.end(began + last_answer + LAST_BYTES).await;
+    }
     others.end().await;
     // Tasks that are left hold nothing that is owed; they end with the process.
     std::process::exit(0);
--- a/node/tests/handover.rs
+++ b/node/tests/handover.rs
@@ -7,7 +7,7 @@
 use std::io::{Read, Write};
 use std::os::unix::fs::PermissionsExt;
 use std::os::unix::net::{UnixListener, UnixStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -16,8 +16,8 @@
     discovery: Discovery,
     counter: Fake,
     numbers: Numbers,
-    /// Whether the counter turns calls away.
-    away: Arc<AtomicBool>,
+    /// Where it is not 0, the counter turns calls away, so many milliseconds after each came.
+    away: Arc<AtomicU64>,
 }
 
 impl Scene {
@@ -26,11 +26,11 @@
             backends.iter().enumerate().map(|(i, b)| entry(&format!("s-{i}"), b.address, "SERVING"));
         // A window of a minute.
         let start = Start { platform: Some(Platform::new()), rate: 100.0, burst: 6000.0, ..Start::default() };
-        let (numbers, away) = (Numbers::default(), Arc::<AtomicBool>::default());
+        let (numbers, away) = (Numbers::default(), Arc::<AtomicU64>::default());
         let (adds, turns) = (numbers.clone(), away.clone());
         let counter = Fake::start(move |call| match turns.load(Ordering::SeqCst) {
-            true => Reaction::Answer(answer("503 No", "", "")),
-            false => ok(&adds.add(call)),
+            0 => ok(&adds.add(call)),
+            after => Reaction::Pieces(vec![(after, answer("503 No", "", ""))]),
         });
         Scene { start, discovery: Discovery::start(entries.collect()), counter, numbers, away }
     }
@@ -148,11 +148,11 @@
         let last = scene.process();
         scene.numbers.come_to(ask(&mut client));
         // It ends with units that it could not tell the counter.
-        scene.away.store(true, Ordering::SeqCst);
+        scene.away.store(1, Ordering::SeqCst);
         let spent = ask(&mut client);
         middle.terminate();
         assert!(middle.wait().success());
-        scene.away.store(false, Ordering::SeqCst);
+        scene.away.store(0, Ordering::SeqCst);
         scene.numbers.come_to(spent);
         std::thread::sleep(Duration::from_millis(1_500));
         assert_eq!(scene.numbers.sum(), spent, "three: {three}");
@@ -253,3 +253,29 @@
     assert!(told.starts_with("{\"state\":") && told.ends_with('\n'), "{told}");
     assert!(began.elapsed() > Duration::from_secs(6), "{:?}", began.elapsed());
 }
+
+/// Guards against units lost with calls that are out as a process ends: turned away then, they are added by the one
+/// that goes on.
+#[test]
+fn what_is_turned_away_as_a_process_ends_is_added() {
+    let backend = Fake::start(|_| ok("x"));
+    let mut scene = Scene::new(&[&backend]);
+    // A call may be out for longer than the end takes.
+    scene.start.changes = &[("\"count_limit_us\":80000", "\"count_limit_us\":2000000")];
+    let mut old = scene.process();
+    let mut client = old.client();
+    let mut ask = |customer| assert_eq!(client.ask(&request("consulta", customer, 3000)).status(), 200);
+    (0..8).for_each(&mut ask);
+    scene.numbers.come_to(8.0);
+    let _new = scene.process();
+    scene.counter.seen.try_iter().for_each(drop);
+    scene.away.store(1_500, Ordering::SeqCst);
+    (0..40).for_each(|n| ask(n % 8));
+    scene.counter.next();
+    old.terminate();
+    assert!(old.wait().success());
+    scene.away.store(0, Ordering::SeqCst);
+    scene.numbers.come_to(48.0);
+    std::thread::sleep(Duration::from_millis(1_500));
+    assert_eq!(scene.numbers.sum(), 48.0);
+}
