--- a/node/tests/counter.rs
+++ b/node/tests/counter.rs
@@ -389,3 +389,38 @@
         (spent, 0, 0)
     );
 }
+
+/// Guards against customers refused for what they have not used: the total that the gateway goes by is that of the
+/// second answer to another's call.
+#[test]
+fn nobody_is_refused_for_a_second_answer() {
+    let (numbers, last) = (Numbers::default(), Mutex::<HashMap<usize, Instant>>::default());
+    let counter = Fake::start(move |call| {
+        let own = total(&numbers.add(call));
+        let before = last.lock().expect("unpoisoned").insert(call.conn, Instant::now());
+        let second = before.filter(|at| at.elapsed() < Duration::from_millis(8)).map(|_| total(POISON));
+        Reaction::Answer(second.unwrap_or_default() + &own)
+    });
+    let backend = Fake::start(|_| ok("x"));
+    let discovery = Discovery::start(vec![entry("s-0", backend.address, "SERVING")]);
+    let changes = &[("\"count_limit_us\":80000", "\"count_limit_us\":2000000")];
+    let start = Start { rate: 0.2, burst: 4.0, changes, ..Start::default() };
+    let gateway = Gateway::start(&start, discovery.fake.address, counter.address);
+    discovery.settled();
+    let refused = AtomicUsize::new(0);
+    std::thread::scope(|threads| {
+        for first in 0..4 {
+            let (mut client, refused) = (gateway.client(), &refused);
+            threads.spawn(move || {
+                for customer in 0..25 {
+                    // A third one wants a fresh total.
+                    for _ in 0..3 {
+                        let answer = client.ask(&request("consulta", first * 1000 + customer, 3000));
+                        refused.fetch_add(usize::from(answer.status() == 429), Ordering::SeqCst);
+                    }
+                }
+            });
+        }
+    });
+    assert_eq!(refused.load(Ordering::SeqCst), 0, "of 300 requests within their quotas");
+}
