Counter, handover and ops take the field's terms: permit, checkout, in flight, message, peer, timeout

Cause: names of our own hid standard concepts (a seat was a permit, a word a message, most a maximum). Change: names and comments only; lines on the wire, log lines and the public paths used by others stay, but for Counter::hold (now set_max_connections) and handover::Word (now Message).

--- a/node/src/counter.rs
+++ b/node/src/counter.rs
@@ -12,7 +12,7 @@
 use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
 
 /// The counter closes what has stood idle for about 10 s or less.
-const IDLE: Duration = Duration::from_secs(3);
+const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 /// A connection is not used again sooner after its last answer. Danger: an answer names no call, and a second one to
 /// the last call, which comes some milliseconds after it, would be taken for the next one's.
 const SETTLE: Duration = Duration::from_millis(10);
@@ -21,7 +21,7 @@
 const LINGER: Duration = Duration::from_secs(1);
 /// How often the end looks whether calls are out.
 const TURN: Duration = Duration::from_millis(2);
-const MOST_BYTES: usize = 1024;
+const MAX_ANSWER_BYTES: usize = 1024;
 
 /// Who is told what became of calls.
 pub trait Results {
@@ -37,10 +37,10 @@
     /// How often the address has changed.
     moves: Cell<u64>,
     limit: Duration,
-    most: Cell<usize>,
+    max_connections: Cell<usize>,
     open: Cell<usize>,
     /// Calls whose result has not been told.
-    out: Cell<usize>,
+    in_flight: Cell<usize>,
     /// Starts no more calls.
     ended: Cell<bool>,
     /// Made since the last move only.
@@ -48,36 +48,46 @@
 }
 
 /// Counts a connection as open for as long as it lives.
-struct Seat(Rc<Counter>);
+struct Permit(Rc<Counter>);
 
-impl Seat {
-    fn take(counter: &Rc<Counter>) -> Option<Self> {
+impl Permit {
+    fn acquire(counter: &Rc<Counter>) -> Option<Self> {
         let open = counter.open.get() + counter.idle.borrow().len();
-        (open < counter.most.get() && !counter.ended.get()).then(|| {
+        (open < counter.max_connections.get() && !counter.ended.get()).then(|| {
             counter.open.set(counter.open.get() + 1);
-            Seat(counter.clone())
+            Permit(counter.clone())
         })
     }
 }
 
-impl Drop for Seat {
+impl Drop for Permit {
     fn drop(&mut self) {
         self.0.open.set(self.0.open.get().saturating_sub(1));
     }
 }
 
 impl Counter {
-    pub fn new(address: Option<SocketAddr>, limits: Option<Limits>, most: usize) -> Rc<Self> {
+    pub fn new(address: Option<SocketAddr>, limits: Option<Limits>, max_connections: usize) -> Rc<Self> {
         let limit = Duration::from_micros(limits.map_or(80_000, |l| l.timeout));
-        let (address, most) = (Cell::new(address), Cell::new(most));
-        let (open, out, ended, idle) = (Cell::new(0), Cell::new(0), Cell::new(false), RefCell::default());
-        Rc::new(Counter { address, moves: Cell::new(0), limit, most, open, out, ended, idle })
+        let (address, max_connections) = (Cell::new(address), Cell::new(max_connections));
+        let (open, in_flight, ended, idle) =
+            (Cell::new(0), Cell::new(0), Cell::new(false), RefCell::default());
+        Rc::new(Counter {
+            address,
+            moves: Cell::new(0),
+            limit,
+            max_connections,
+            open,
+            in_flight,
+            ended,
+            idle,
+        })
     }
 
     /// From now on holds so many connections at most, once the calls that are out have ended.
-    pub fn hold(&self, most: usize) {
-        self.most.set(most);
-        self.idle.borrow_mut().truncate(most.saturating_sub(self.open.get()));
+    pub fn set_max_connections(&self, max_connections: usize) {
+        self.max_connections.set(max_connections);
+        self.idle.borrow_mut().truncate(max_connections.saturating_sub(self.open.get()));
     }
 
     /// Later calls go to this address. Calls that are out end where they are: none goes out again. Danger: an address
@@ -93,26 +103,26 @@
     pub async fn end(&self, until: Instant) {
         self.ended.set(true);
         let until = until.min(Instant::now() + self.limit);
-        while self.out.get() > 0 && Instant::now() < until {
+        while self.in_flight.get() > 0 && Instant::now() < until {
             sleep(TURN).await;
         }
     }
 
     /// Starts a call.
-    pub fn call<R>(self: &Rc<Self>, results: R, clock: Clock, name: CountName, amount: f64, keep: Micros)
+    pub fn call<R>(self: &Rc<Self>, results: R, clock: Clock, name: CountName, amount: f64, life: Micros)
     where
         R: Results + 'static,
     {
         let (counter, began) = (self.clone(), clock.now());
-        self.out.set(self.out.get() + 1);
+        self.in_flight.set(self.in_flight.get() + 1);
         tokio::task::spawn_local(async move {
             let until = Instant::now() + counter.limit;
-            let path = format!("/v2/numbers/{:016x}?delta={amount}&life_ms={}", name.0, (keep / 1000).max(1));
+            let path = format!("/v2/numbers/{:016x}?delta={amount}&life_ms={}", name.0, (life / 1000).max(1));
             let tell = |result| {
-                counter.out.set(counter.out.get() - 1);
+                counter.in_flight.set(counter.in_flight.get() - 1);
                 results.counted(name, result, clock.now().saturating_sub(began));
             };
-            let Some((seat, link)) = counter.link(until).await else {
+            let Some((permit, link)) = counter.checkout(until).await else {
                 return tell(Reckoned::NotAdded);
             };
             let moves = counter.moves.get();
@@ -133,8 +143,8 @@
                     link
                 }
             };
-            drop(seat);
-            let room = counter.open.get() + counter.idle.borrow().len() < counter.most.get();
+            drop(permit);
+            let room = counter.open.get() + counter.idle.borrow().len() < counter.max_connections.get();
             let again = link.filter(|link| room && link.usable() && counter.moves.get() == moves);
             counter.idle.borrow_mut().extend(again.map(|link| (link, Instant::now())));
         });
@@ -145,7 +155,7 @@
         let mut idle = self.idle.borrow_mut();
         while let Some(at) = idle.iter().rposition(|(_, since)| since.elapsed() >= SETTLE) {
             let (link, since) = idle.remove(at);
-            if link.usable() && since.elapsed() < IDLE {
+            if link.usable() && since.elapsed() < IDLE_TIMEOUT {
                 return Some(link);
             }
         }
@@ -153,19 +163,19 @@
     }
 
     /// A connection that may be used again, or a new one.
-    async fn link(self: &Rc<Self>, until: Instant) -> Option<(Seat, Link)> {
+    async fn checkout(self: &Rc<Self>, until: Instant) -> Option<(Permit, Link)> {
         loop {
             if let Some(link) = self.reuse() {
-                return Some((Seat::take(self)?, link));
+                return Some((Permit::acquire(self)?, link));
             }
-            if let Some(seat) = Seat::take(self) {
+            if let Some(permit) = Permit::acquire(self) {
                 let (moves, address) = (self.moves.get(), self.address.get()?);
                 let made = timeout_at(until, Link::connect(address)).await.ok()?;
                 // Danger: one that comes up after a move leads to where nothing new is to go.
                 if moves != self.moves.get() {
                     continue;
                 }
-                return Some((seat, made.ok()?));
+                return Some((permit, made.ok()?));
             }
             // Danger: one closed to make room for another is seen by the counter some time later: there would be more
             // than it holds. Where those that have not settled take up all places, the first of them is waited for.
@@ -176,7 +186,7 @@
 
     /// Drops idle connections before the counter closes them.
     pub fn sweep(&self) {
-        self.idle.borrow_mut().retain(|(link, since)| link.usable() && since.elapsed() < IDLE);
+        self.idle.borrow_mut().retain(|(link, since)| link.usable() && since.elapsed() < IDLE_TIMEOUT);
     }
 }
 
@@ -193,7 +203,7 @@
         Err(_) => return (Reckoned::NotAdded, None),
     };
     let status = answer.status().as_u16();
-    let body = Limited::new(answer.into_body(), MOST_BYTES).collect().await.ok().map(|b| b.to_bytes());
+    let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES).collect().await.ok().map(|b| b.to_bytes());
     let total = body.as_deref().and_then(|b| std::str::from_utf8(b).ok()?.trim().parse::<f64>().ok());
     match (status, total.filter(|v| v.is_finite())) {
         (503 | 400 | 404, _) => (Reckoned::NotAdded, body.is_some().then_some(link)),
--- a/node/src/handover.rs
+++ b/node/src/handover.rs
@@ -22,23 +22,23 @@
 use tokio::time::{sleep, timeout};
 
 /// What a predecessor knows is waited for so long: the new process must be ready in 6 s, with or without.
-const TELL: Duration = Duration::from_secs(1);
+const STATE_TIMEOUT: Duration = Duration::from_secs(1);
 /// The last words of a process are given so long to leave it.
-const LAST_WORDS: Duration = Duration::from_millis(200);
-/// A word longer than this is none of ours.
-const MOST_BYTES: u64 = 8 << 20;
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
+/// A message longer than this is none of ours.
+const MAX_MESSAGE_BYTES: u64 = 8 << 20;
 /// Who comes must say something this soon: it is to be ready in 6 s, and says so.
-const FIRST_WORD: Duration = Duration::from_secs(10);
+const HELLO_TIMEOUT: Duration = Duration::from_secs(10);
 /// Processes of one gateway that are spoken to: one that came before and one that comes after.
-const MOST_OTHERS: usize = 2;
+const MAX_PEERS: usize = 2;
 
 /// What one process tells another.
 #[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Word {
-    /// The first word to a successor: all that it is to know.
+pub enum Message {
+    /// The first message to a successor: all that it is to know.
     State(Box<State>),
-    /// The first word of a successor that serves.
+    /// The first message of a successor that serves.
     Serving,
     Bar {
         name: String,
@@ -49,7 +49,7 @@
     },
     /// The connections that it holds, of those that all may hold together.
     Held(Held),
-    /// The last word of a process that ends.
+    /// The last message of a process that ends.
     Spent(Vec<Spent>),
 }
 
@@ -80,9 +80,9 @@
 }
 
 /// The talk with another process.
-struct Talk {
+struct Peer {
     tell: mpsc::UnboundedSender<String>,
-    /// Whether it has said a word.
+    /// Whether it has said a message.
     heard: bool,
     reader: AbortHandle,
     writer: JoinHandle<()>,
@@ -92,7 +92,7 @@
 pub struct Handover {
     driver: Shared,
     path: Option<PathBuf>,
-    others: RefCell<BTreeMap<u64, Talk>>,
+    peers: RefCell<BTreeMap<u64, Peer>>,
     next: Cell<u64>,
     /// What the others hold; `None` while there are none.
     held: watch::Sender<Option<Held>>,
@@ -103,12 +103,12 @@
 impl Handover {
     /// Takes over what a process that runs already knows, and waits for the next one.
     pub async fn join(driver: Shared, path: Option<PathBuf>) -> Rc<Self> {
-        let (others, next, successor) = (RefCell::default(), Cell::new(0), Cell::new(None));
+        let (peers, next, successor) = (RefCell::default(), Cell::new(0), Cell::new(None));
         let held = watch::channel(None).0;
-        let this = Rc::new(Handover { driver, path, others, next, held, successor });
+        let this = Rc::new(Handover { driver, path, peers, next, held, successor });
         let Some(path) = this.path.clone() else { return this };
         // Absent, stale, silent or cut off: this process begins with what it has been told at its start.
-        match timeout(TELL, this.meet(&path)).await {
+        match timeout(STATE_TIMEOUT, this.meet(&path)).await {
             Ok(Ok(())) => eprintln!("handover: another process of this gateway serves"),
             Ok(Err(why)) => eprintln!("handover: none before this one ({why})"),
             Err(_) => eprintln!("handover: the other process does not answer"),
@@ -132,32 +132,33 @@
 
     /// Whether another process runs.
     pub fn paired(&self) -> bool {
-        !self.others.borrow().is_empty()
+        !self.peers.borrow().is_empty()
     }
 
-    pub fn tell(&self, word: &Word) {
-        let line = line(word);
-        self.others.borrow().values().for_each(|o| drop(o.tell.send(line.clone())));
+    pub fn tell(&self, message: &Message) {
+        let line = line(message);
+        self.peers.borrow().values().for_each(|o| drop(o.tell.send(line.clone())));
     }
 
     /// Tells another process what this one leaves, and ends all talk once that is written. Danger: where two are
     /// told, both add it: the one that goes on after this one is, or else the one that came last.
     pub async fn end(&self) {
-        let mut others = std::mem::take(&mut *self.others.borrow_mut());
+        let mut peers = std::mem::take(&mut *self.peers.borrow_mut());
         let successor = self.successor.get();
-        let heir = others.iter().max_by_key(|(id, o)| (successor == Some(**id), o.heard, **id));
-        let Some(heir) = heir.map(|(id, _)| *id).and_then(|id| others.remove(&id)) else { return };
-        drop(heir.tell.send(line(&Word::Spent(self.driver.spent()))));
+        let heir = peers.iter().max_by_key(|(id, o)| (successor == Some(**id), o.heard, **id));
+        let Some(heir) = heir.map(|(id, _)| *id).and_then(|id| peers.remove(&id)) else { return };
+        drop(heir.tell.send(line(&Message::Spent(self.driver.spent()))));
         // The writer that has nothing left to write ends.
         drop(heir.tell);
-        let _ = timeout(LAST_WORDS, heir.writer).await;
+        let _ = timeout(FLUSH_TIMEOUT, heir.writer).await;
     }
 
     async fn meet(self: &Rc<Self>, path: &Path) -> Result<(), String> {
         let stream = UnixStream::connect(path).await.map_err(|e| e.to_string())?;
         let (from, to) = stream.into_split();
         let mut from = BufReader::new(from);
-        let Word::State(state) = hear(&mut from).await.ok_or("it says nothing that can be read")? else {
+        let Message::State(state) = receive(&mut from).await.ok_or("it says nothing that can be read")?
+        else {
             return Err("it does not say what it knows".to_owned());
         };
         let State { list, barred, draining, module } = *state;
@@ -176,12 +177,12 @@
                 sleep(Duration::from_millis(100)).await;
                 continue;
             };
-            if self.others.borrow().len() >= MOST_OTHERS && !self.make_way() {
+            if self.peers.borrow().len() >= MAX_PEERS && !self.make_way() {
                 continue;
             }
             let (list, barred) = self.driver.listed();
             let (draining, module) = (self.driver.draining(), self.driver.legacy());
-            let state = Word::State(Box::new(State { list, barred, draining, module }));
+            let state = Message::State(Box::new(State { list, barred, draining, module }));
             let (from, to) = stream.into_split();
             let tell = self.talk(BufReader::new(from), to, false);
             drop(tell.send(line(&state)));
@@ -190,7 +191,7 @@
 
     /// Lets go of the first that has said nothing: a process that hangs must not keep another one from its place.
     fn make_way(&self) -> bool {
-        let silent = self.others.borrow().iter().find(|(_, o)| !o.heard).map(|(id, _)| *id);
+        let silent = self.peers.borrow().iter().find(|(_, o)| !o.heard).map(|(id, _)| *id);
         silent.inspect(|id| self.leaves(*id)).is_some()
     }
 
@@ -202,9 +203,9 @@
         heard: bool,
     ) -> mpsc::UnboundedSender<String> {
         let id = self.next.replace(self.next.get() + 1);
-        let (tell, mut words) = mpsc::unbounded_channel::<String>();
+        let (tell, mut lines) = mpsc::unbounded_channel::<String>();
         let writer = tokio::task::spawn_local(async move {
-            while let Some(line) = words.recv().await {
+            while let Some(line) = lines.recv().await {
                 if to.write_all(line.as_bytes()).await.is_err() {
                     break;
                 }
@@ -212,24 +213,24 @@
         });
         let this = self.clone();
         let reader = tokio::task::spawn_local(async move {
-            let mut patience = if heard { Duration::MAX } else { FIRST_WORD };
-            while let Ok(Some(word)) = timeout(patience, hear(&mut from)).await {
+            let mut patience = if heard { Duration::MAX } else { HELLO_TIMEOUT };
+            while let Ok(Some(message)) = timeout(patience, receive(&mut from)).await {
                 patience = Duration::MAX;
-                this.heed(id, word);
+                this.handle(id, message);
             }
             this.leaves(id);
         });
-        let talk = Talk { tell: tell.clone(), heard, reader: reader.abort_handle(), writer };
-        self.others.borrow_mut().insert(id, talk);
+        let peer = Peer { tell: tell.clone(), heard, reader: reader.abort_handle(), writer };
+        self.peers.borrow_mut().insert(id, peer);
         self.changed();
         tell
     }
 
     /// The talk with this one is over.
     fn leaves(&self, id: u64) {
-        let Some(talk) = self.others.borrow_mut().remove(&id) else { return };
-        talk.reader.abort();
-        talk.writer.abort();
+        let Some(peer) = self.peers.borrow_mut().remove(&id) else { return };
+        peer.reader.abort();
+        peer.writer.abort();
         self.successor.set(self.successor.get().filter(|s| *s != id));
         self.changed();
         eprintln!("handover: the other process is gone");
@@ -241,29 +242,29 @@
         self.driver.paired(paired);
     }
 
-    fn heed(&self, id: u64, word: Word) {
-        self.others.borrow_mut().entry(id).and_modify(|o| o.heard = true);
-        match word {
-            Word::Serving => self.successor.set(Some(id)),
-            Word::Bar { name, out } => self.driver.bar(&name, out),
-            Word::Drain { on } => self.driver.drain(on),
-            Word::Held(held) => drop(self.held.send_replace(Some(held))),
-            Word::Spent(spent) => self.driver.take_over(spent),
-            // Only the first word is one of these.
-            Word::State(_) => {}
+    fn handle(&self, id: u64, message: Message) {
+        self.peers.borrow_mut().entry(id).and_modify(|o| o.heard = true);
+        match message {
+            Message::Serving => self.successor.set(Some(id)),
+            Message::Bar { name, out } => self.driver.bar(&name, out),
+            Message::Drain { on } => self.driver.drain(on),
+            Message::Held(held) => drop(self.held.send_replace(Some(held))),
+            Message::Spent(spent) => self.driver.take_over(spent),
+            // Only the first message is one of these.
+            Message::State(_) => {}
         }
     }
 }
 
-fn line(word: &Word) -> String {
-    // What can't be said is no word to who hears it.
-    serde_json::to_string(word).unwrap_or_default() + "\n"
+fn line(message: &Message) -> String {
+    // What can't be said is no message to who hears it.
+    serde_json::to_string(message).unwrap_or_default() + "\n"
 }
 
-/// The next word; `None` where the talk has ended, or says what is no word.
-async fn hear(from: &mut BufReader<OwnedReadHalf>) -> Option<Word> {
+/// The next message; `None` where the talk has ended, or says what is no message.
+async fn receive(from: &mut BufReader<OwnedReadHalf>) -> Option<Message> {
     let mut line = Vec::new();
-    from.take(MOST_BYTES).read_until(b'\n', &mut line).await.ok()?;
+    from.take(MAX_MESSAGE_BYTES).read_until(b'\n', &mut line).await.ok()?;
     serde_json::from_slice(&line).ok()
 }
 
--- a/node/src/ops.rs
+++ b/node/src/ops.rs
@@ -2,7 +2,7 @@
 
 use crate::driver::Shared;
 use crate::figures::Figures;
-use crate::handover::{Handover, Word};
+use crate::handover::{Handover, Message};
 use crate::server::Server;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -21,10 +21,10 @@
 use tokio::time::{sleep, timeout};
 
 /// A call must be over this long after its connection came.
-const CALL: Duration = Duration::from_secs(3);
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 /// No call has need of a body; one longer than this is no call.
-const MOST_BODY: usize = 1024;
-const HEAD_BYTES: usize = 8 * 1024;
+const MAX_BODY_BYTES: usize = 1024;
+const MAX_HEAD_BYTES: usize = 8 * 1024;
 
 type Answer = Response<Full<Bytes>>;
 
@@ -68,7 +68,8 @@
                 callers.pop_front().inspect(|c| c.abort());
             }
             let door = self.clone();
-            let task = tokio::task::spawn_local(async move { drop(timeout(CALL, door.serve(stream)).await) });
+            let call = async move { drop(timeout(CALL_TIMEOUT, door.serve(stream)).await) };
+            let task = tokio::task::spawn_local(call);
             callers.push_back(task.abort_handle());
             // Danger: of many that stand in the line, the first would make way before it was heard at all.
             yield_now().await;
@@ -78,7 +79,7 @@
     async fn serve(self: Rc<Self>, stream: TcpStream) {
         let service = service_fn(|request| async { Ok::<_, Infallible>(self.answer(request).await) });
         let mut http = http1::Builder::new();
-        http.keep_alive(false).header_read_timeout(None).max_buf_size(HEAD_BYTES);
+        http.keep_alive(false).header_read_timeout(None).max_buf_size(MAX_HEAD_BYTES);
         // An error here is the caller's.
         drop(http.serve_connection(TokioIo::new(stream), service).await);
     }
@@ -86,7 +87,7 @@
     /// Danger: half a call must do nothing: it counts once its last byte has come.
     async fn answer(&self, request: Request<Incoming>) -> Answer {
         let (head, body) = request.into_parts();
-        if Limited::new(body, MOST_BODY).collect().await.is_err() {
+        if Limited::new(body, MAX_BODY_BYTES).collect().await.is_err() {
             return say(StatusCode::BAD_REQUEST, "broken body\n");
         }
         let mut answer = self.call(&head.method, head.uri.path(), head.uri.query());
@@ -117,7 +118,7 @@
             }
             "/drain" | "/undrain" => {
                 self.driver.drain(path == "/drain");
-                self.others.tell(&Word::Drain { on: path == "/drain" });
+                self.others.tell(&Message::Drain { on: path == "/drain" });
                 eprintln!("ops: {path}");
                 say(StatusCode::OK, "done\n")
             }
@@ -134,7 +135,7 @@
             return say(StatusCode::NOT_FOUND, "no backend of this id\n");
         }
         self.driver.bar(&id, out);
-        self.others.tell(&Word::Bar { name: id.to_string(), out });
+        self.others.tell(&Message::Bar { name: id.to_string(), out });
         eprintln!("ops: {id:?} {}", if out { "taken out" } else { "back in" });
         say(StatusCode::OK, "done\n")
     }
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -3,7 +3,7 @@
 use crate::backend::Pool;
 use crate::config::{Bounds, Held, Reload, Setup};
 use crate::counter::Counter;
-use crate::handover::{Handover, Word};
+use crate::handover::{Handover, Message};
 use crate::server::Server;
 use crate::{admission, discovery, driver, figures, handover, ops};
 use std::rc::Rc;
@@ -78,7 +78,7 @@
         if serving.paired() {
             let _ = tokio::time::timeout(FIRST_LIST, first.told()).await;
         }
-        serving.tell(&Word::Serving);
+        serving.tell(&Message::Serving);
         accepts.accept(listener, last).await;
     });
     eprintln!("{}: listening on {}", setup.name, setup.listen);
@@ -153,10 +153,10 @@
         let bounds = other.map_or(alone, |other| paired.beside(other));
         server.hold(bounds.clients);
         pool.hold(bounds.backends);
-        counter.hold(bounds.counter);
+        counter.set_max_connections(bounds.counter);
         let own = Held { clients: server.held(), backends: pool.held() };
         if other.is_some() && own != told {
-            others.tell(&Word::Held(own));
+            others.tell(&Message::Held(own));
             told = own;
         }
         // While there is another, what is held here may change at any time.
