--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -3,7 +3,7 @@
 use crate::backend::Pool;
 use crate::config::{Bounds, Held, Reload, Setup};
 use crate::counter::Counter;
-use crate::handover::{Handover, Word};
+use crate::handover::{Handover, Message};
 use crate::server::Server;
 use crate::{admission, discovery, driver, endpoints, figures, handover, ops};
 use std::rc::Rc;
@@ -79,7 +79,7 @@
         if serving.paired() {
             let _ = tokio::time::timeout(FIRST_LIST, first.first_list()).await;
         }
-        serving.tell(&Word::Serving);
+        serving.tell(&Message::Serving);
         accepts.accept(listener, last).await;
     });
     eprintln!("{}: listening on {}, {descriptors} descriptors", setup.name, setup.listen);
@@ -130,6 +130,10 @@
         }
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
+    // Danger: what is turned away after the last words is added by nobody.
+    if others.paired() {
+        counter.end(began + last_answer + LAST_BYTES).await;
+    }
     others.end().await;
     // Tasks that are left hold nothing that is owed; they end with the process.
     std::process::exit(0);
@@ -150,10 +154,10 @@
         let bounds = other.map_or(alone, |other| paired.beside(other));
         server.hold(bounds.clients);
         pool.hold(bounds.backends);
-        counter.hold(bounds.counter);
+        counter.set_max_connections(bounds.counter);
         let own = Held { clients: server.held(), backends: pool.held() };
         if other.is_some() && own != told {
-            others.tell(&Word::Held(own));
+            others.tell(&Message::Held(own));
             told = own;
         }
         // While there is another, what is held here may change at any time.
