Give a connection's descriptor back at once where it makes way

Cause: Pool::drop_oldest() takes a connection off the count and opens another in its place, but Link::drop (metered.rs) only aborted the task that shares the socket; that task keeps it until the runtime comes to it. Of many attempts that begin in one turn each thus holds two descriptors.

--- a/node/src/metered.rs
+++ b/node/src/metered.rs
@@ -25,7 +25,8 @@
 
 /// A socket as others than its one user see it.
 pub struct Meter {
-    stream: RefCell<TcpStream>,
+    /// `None` once it is closed from this side.
+    stream: RefCell<Option<TcpStream>>,
     read: Cell<u64>,
     written: Cell<u64>,
     /// What has been read since `listen`, up to the end of a head; for those who want it.
@@ -36,7 +37,7 @@
 
 impl Meter {
     pub fn new(stream: TcpStream) -> Rc<Self> {
-        let stream = RefCell::new(stream);
+        let stream = RefCell::new(Some(stream));
         let (head, goal) = (RefCell::default(), RefCell::default());
         Rc::new(Meter { stream, read: Cell::new(0), written: Cell::new(0), head, goal })
     }
@@ -94,8 +95,10 @@
 
     /// Whether the socket is open and holds nothing unread, as the kernel has it at this moment.
     pub fn quiet(&self) -> bool {
+        let stream = self.stream.borrow();
+        let Some(stream) = stream.as_ref() else { return false };
         let mut byte = [MaybeUninit::uninit()];
-        let peeked = SockRef::from(&*self.stream.borrow()).peek(&mut byte);
+        let peeked = SockRef::from(stream).peek(&mut byte);
         peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 }
@@ -105,12 +108,13 @@
     /// nobody reads, neither a read nor a peek comes to that end; the runtime is told of it beside them.
     pub fn hung_up(&self) -> bool {
         let stream = self.stream.borrow();
+        let Some(stream) = stream.as_ref() else { return true };
         let looked = pin!(stream.ready(Interest::READABLE)).poll(&mut Context::from_waker(Waker::noop()));
         let mut byte = [MaybeUninit::uninit()];
         match looked {
             Poll::Ready(Ok(ready)) if ready.is_read_closed() => true,
             // Where it is not told, the end still shows once there is nothing before it.
-            Poll::Ready(_) => match SockRef::from(&*stream).peek(&mut byte) {
+            Poll::Ready(_) => match SockRef::from(stream).peek(&mut byte) {
                 Ok(n) => n == 0,
                 Err(e) => e.kind() != io::ErrorKind::WouldBlock,
             },
@@ -123,6 +127,14 @@
 pub struct Metered(pub Rc<Meter>);
 
 impl Metered {
+    /// What `poll` makes of the socket; an error once that is closed.
+    fn with<T>(&self, poll: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        match self.0.stream.borrow_mut().as_mut() {
+            Some(stream) => poll(Pin::new(stream)),
+            None => Poll::Ready(Err(io::ErrorKind::NotConnected.into())),
+        }
+    }
+
     fn note(&self, done: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(n)) = done {
             self.0.written.set(self.0.written.get() + n as u64);
@@ -138,7 +150,7 @@
 impl AsyncRead for Metered {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let done = Pin::new(&mut *self.0.stream.borrow_mut()).poll_read(cx, buf);
+        let done = self.with(|stream| stream.poll_read(cx, buf));
         self.0.read.set(self.0.read.get() + (buf.filled().len() - before) as u64);
         self.0.keep(&buf.filled()[before..]);
         done
@@ -147,7 +159,7 @@
 
 impl AsyncWrite for Metered {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let done = Pin::new(&mut *self.0.stream.borrow_mut()).poll_write(cx, buf);
+        let done = self.with(|stream| stream.poll_write(cx, buf));
         self.note(done)
     }
     fn poll_write_vectored(
@@ -155,17 +167,17 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let done = Pin::new(&mut *self.0.stream.borrow_mut()).poll_write_vectored(cx, bufs);
+        let done = self.with(|stream| stream.poll_write_vectored(cx, bufs));
         self.note(done)
     }
     fn is_write_vectored(&self) -> bool {
-        self.0.stream.borrow().is_write_vectored()
+        self.0.stream.borrow().as_ref().is_some_and(TcpStream::is_write_vectored)
     }
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.stream.borrow_mut()).poll_flush(cx)
+        self.with(|stream| stream.poll_flush(cx))
     }
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.stream.borrow_mut()).poll_shutdown(cx)
+        self.with(|stream| stream.poll_shutdown(cx))
     }
 }
 
@@ -182,9 +194,12 @@
     task: AbortHandle,
 }
 
+/// Danger: an aborted task holds what it has until the runtime comes to it, and whoever counts connections counts
+/// this one no more: its descriptor is given back at once.
 impl Drop for Link {
     fn drop(&mut self) {
         self.task.abort();
+        drop(self.meter.stream.take());
     }
 }
 
