--- a/node/tests/descriptors.rs
+++ b/node/tests/descriptors.rs
@@ -199,8 +199,14 @@
     let (mut regular, mut most, began) = (Regular(gateway.address, None), 0, Instant::now());
     let (before, mut asked) = (made(), 0);
     while began.elapsed() < Duration::from_millis(1_500) {
-        assert_eq!(ask_new(gateway.address, "modificar"), Some(200), "{}", gateway.log());
-        assert_eq!(regular.ask("modificar"), Some(200), "{}", gateway.log());
+        assert_eq!(
+            ask_new(gateway.address, "modificar"),
+            Some(200),
+            "{} {}",
+            gateway.log(),
+            gateway.figures()
+        );
+        assert_eq!(regular.ask("modificar"), Some(200), "{} {}", gateway.log(), gateway.figures());
         asked += 2;
         let called = Instant::now();
         assert_eq!(gateway.call("GET /ready").status(), 200);
@@ -208,7 +214,7 @@
         most = most.max(gateway.descriptors());
         std::thread::sleep(Duration::from_millis(20));
     }
-    assert!(gateway.log().contains("reloaded: "), "{}", gateway.log());
+    assert!(gateway.log().contains("reloaded: "), "{} {}", gateway.log(), gateway.figures());
     next_counter.next();
     let made = made() - before;
     assert!(made >= asked / 2, "{made} connections for {asked} requests");
@@ -220,8 +226,14 @@
     let back = Instant::now();
     let _returned = (absent.back)(entries);
     while back.elapsed() < 3 * GRACE {
-        assert_eq!(ask_new(gateway.address, "consulta"), Some(200), "{}", gateway.log());
-        assert_eq!(regular.ask("consulta"), Some(200), "{}", gateway.log());
+        assert_eq!(
+            ask_new(gateway.address, "consulta"),
+            Some(200),
+            "{} {}",
+            gateway.log(),
+            gateway.figures()
+        );
+        assert_eq!(regular.ask("consulta"), Some(200), "{} {}", gateway.log(), gateway.figures());
         most = most.max(gateway.descriptors());
     }
     let after = |s: Seen| s.at.saturating_duration_since(back);
