Add what an ending process spent of customers that only it has met

Cause: logic.rs, on_spent passed over units of customers that are not known here. Those that came first after the next process had been told what is known were lost with the old one: with seven of eight customers new since then and the counter turning calls away until the end, 2 of 9 units reached the counter.

Change: the last word names the customer's own number, its plan by name and its spread, and the one that goes on meets it as a request's arrival does. A plan that is not in its settings is passed over, as before; the last word of a version that does not name plans is read and its units are passed over.

Measured: the new test in node/tests/handover.rs, 9 of 9 units (2 of 9 without the change), and one in tests/quota.rs with the plans in another order.

--- a/node/tests/handover.rs
+++ b/node/tests/handover.rs
@@ -281,3 +281,22 @@
     std::thread::sleep(Duration::from_millis(1_500));
     assert_eq!(scene.numbers.sum(), 48.0);
 }
+
+/// Guards against units lost of customers that came first after the next process had been told what is known.
+#[test]
+fn units_of_customers_that_only_the_ending_process_has_met_are_added() {
+    let backend = Fake::start(|_| ok("x"));
+    let scene = Scene::new(&[&backend]);
+    let mut old = scene.process();
+    let mut client = old.client();
+    let mut ask = |customer| assert_eq!(client.ask(&request("consulta", customer, 3000)).status(), 200);
+    ask(1);
+    scene.numbers.come_to(1.0);
+    let _new = scene.process();
+    scene.away.store(1, Ordering::SeqCst);
+    (1..9).for_each(&mut ask);
+    old.terminate();
+    assert!(old.wait().success());
+    scene.away.store(0, Ordering::SeqCst);
+    scene.numbers.come_to(9.0);
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -535,10 +535,16 @@
 }
 
 /// Units of a customer in a window that are not on the counter yet.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Spent {
     /// Whose.
     pub customer: CustomerId,
+    /// The name of its plan: places may differ between processes. Empty from a version that does not tell it.
+    #[serde(default)]
+    pub plan: String,
+    /// Gateways that it can use.
+    #[serde(default)]
+    pub spread: f64,
     /// The number of the window.
     pub window: u64,
     /// How many; below 0 where too many were counted.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -526,22 +526,27 @@
             (b.started, b.guessed) = (b.started.max(cold.started), b.guessed.max(cold.guessed));
             b.sent.extend(cold.sent);
         }
-        for (i, (lat, base, seen)) in legacy.classes.into_iter().enumerate().take(self.class_lat.len()) {
-            (self.class_lat[i], self.class_base[i], self.class_seen[i]) = (lat, base, seen);
-        }
-        [self.mix_lat, self.mix_base] = legacy.mix;
+        self.inherit_latencies(legacy.classes, legacy.mix);
+    }
+
+    /// A customer under one of its plans, with nothing known of it where it has not been met.
+    fn meet(&mut self, id: CustomerId, plan: usize, spread: f64) -> &mut Customer {
+        let window = if self.cfg.plans[plan].rate > 0.0 { self.phase(id, plan).0 } else { 0 };
+        let (store, now) = (self.cfg.plans[plan].burst, self.now);
+        self.customers.entry(id).or_insert_with(|| Customer::new(plan, window, spread, store, now))
     }
 
-    /// Tells the counter of what another process of this gateway has spent and can not tell any more.
+    /// Tells the counter of what another process of this gateway has spent and can not tell any more. Danger: it may
+    /// have met customers since it told this one of those that it knew.
     fn on_spent(&mut self, spent: Spent) {
-        if !spent.units.is_finite() || !self.customers.contains_key(&spent.customer) {
-            return;
-        }
-        self.roll(spent.customer);
-        let Some(c) = self.customers.get_mut(&spent.customer) else { return };
-        let Some(t) = c.tally(spent.window) else { return };
+        let plan = self.cfg.plans.iter().position(|p| p.name == spent.plan);
+        let Some(plan) = plan.filter(|_| spent.units.is_finite()) else { return };
+        let id = spent.customer.under(plan);
+        self.meet(id, plan, self.bounded_spread(spent.spread)).seen = self.now;
+        self.roll(id);
+        let Some(t) = self.customers.get_mut(&id).and_then(|c| c.tally(spent.window)) else { return };
         t.unsent += spent.units;
-        self.schedule(spent.customer, 0.3 * SYNC);
+        self.schedule(id, 0.3 * SYNC);
     }
 
     /// Answers the requests whose units the last call carried: a total read milliseconds ago
@@ -597,24 +602,18 @@
         }
         // Units that are no number must not be granted without bound.
         let units = if a.units.is_finite() && a.units > 0.0 { a.units } else { self.cfg.units_top.max(1.0) };
-        let spread = if a.spread >= 1.0 { a.spread.min(self.cfg.gateways as f64) } else { 1.0 };
-        let (deadline, coming) = (a.deadline, a.coming);
+        let (spread, deadline, coming) = (self.bounded_spread(a.spread), a.deadline, a.coming);
         // Danger: kept for the customer alone, what one plan grants or refuses would be another's.
         let cid = a.customer.under(plan);
         let r = Request { class, customer: cid, deadline, units, coming, ..Request::default() };
         self.requests.insert(id, r);
         self.deadlines.insert((a.deadline, id));
         self.arm();
-        let window = if self.cfg.plans[plan].rate > 0.0 { self.phase(cid, plan).0 } else { 0 };
-        let (share, store) = (1.0 / spread, self.cfg.plans[plan].burst);
-        let (others, slice) = (store * (1.0 - share), store * share);
-        let new =
-            || Customer { plan, window, share, others, store, store_at: now, slice, ..Customer::default() };
-        let c = self.customers.entry(cid).or_insert_with(new);
+        let c = self.meet(cid, plan, spread);
         let set = (spread, a.first_gateway);
         if c.set.replace(set) != Some(set) {
             // What came through here of another set's traffic says nothing of this one's.
-            (c.spread, c.share) = (spread, share);
+            (c.spread, c.share) = (spread, 1.0 / spread);
         }
         c.seen = now;
         let verdict = self.judge(cid, units);
--- a/src/state.rs
+++ b/src/state.rs
@@ -390,6 +390,13 @@
 }
 
 impl Customer {
+    /// One that has not been met: a full store, and an even part of the traffic.
+    pub(crate) fn new(plan: usize, window: u64, spread: f64, store: f64, now: Micros) -> Self {
+        let share = 1.0 / spread;
+        let (others, slice) = (store * (1.0 - share), store * share);
+        Customer { plan, spread, window, share, others, store, store_at: now, slice, ..Customer::default() }
+    }
+
     /// Books what goes on here: in this gateway's own count and in the replayed store.
     pub(crate) fn pass(&mut self, units: f64) {
         self.cur.passed += units;
@@ -518,13 +525,27 @@
             for (t, window) in [(&mut c.cur, c.window), (&mut c.prev, c.window.wrapping_sub(1))] {
                 let units = std::mem::take(&mut t.unsent) + std::mem::take(&mut t.fix);
                 if units != 0.0 {
-                    all.push(Spent { customer: *id, window, units });
+                    let (customer, plan) = (id.under(c.plan), self.cfg.plans[c.plan].name.clone());
+                    all.push(Spent { customer, plan, spread: c.spread, window, units });
                 }
             }
         }
         all
     }
 
+    /// Takes over what answers take, by class and over all.
+    pub(crate) fn inherit_latencies(&mut self, classes: Vec<(f64, f64, u32)>, mix: [f64; 2]) {
+        for (i, (lat, base, seen)) in classes.into_iter().enumerate().take(self.class_lat.len()) {
+            (self.class_lat[i], self.class_base[i], self.class_seen[i]) = (lat, base, seen);
+        }
+        [self.mix_lat, self.mix_base] = mix;
+    }
+
+    /// How many gateways a customer's requests come through, where it says so: one at the least.
+    pub(crate) fn bounded_spread(&self, told: f64) -> f64 {
+        told.max(1.0).min(self.cfg.gateways as f64)
+    }
+
     /// Attempts out that work waits with, as far as is known.
     pub(crate) fn waiting(&self) -> f64 {
         self.out.saturating_sub(self.lost) as f64
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -365,6 +365,34 @@
     assert!(rig.gateway.spent().is_empty());
 }
 
+/// Guards against units lost of customers that came first after the next process had been told what is known; also
+/// where that one's settings have the plans in another order, and where they no longer have the plan.
+#[test]
+fn units_of_customers_that_the_next_process_has_not_met_are_told_by_it() {
+    let plans = |names: &[&str]| Config {
+        plans: names.iter().map(|name| Plan::rated(name, 4.0, 8.0)).collect(),
+        ..config()
+    };
+    for (names, whole) in [(&["plan"][..], true), (&["other", "plan"][..], true), (&["other"][..], false)] {
+        let mut rig = Rig::new(config(), 2);
+        let (mut heir, mut fresh) = (Rig::new(plans(names), 2), Rig::new(plans(names), 2));
+        let spent = (1..8).flat_map(|n| sent(&rig.ask(n as u32, n))).count() as f64;
+        heir.feed(Event::Spent(rig.gateway.spent()));
+        let made = calls(&heir.run(2 * SEC));
+        let told = made.iter().map(|c| c.1).sum::<f64>();
+        assert_eq!(told, if whole { spent } else { 0.0 }, "{names:?}");
+        if whole {
+            // Counted under the names that their own requests are.
+            heir.plan = names.len() as u16 - 1;
+            fresh.plan = heir.plan;
+            (1..8).for_each(|n| drop(fresh.ask(n as u32, n)));
+            fresh.run(2 * SEC);
+            let own = calls(&fresh.out);
+            assert!(made.iter().all(|(name, _)| own.iter().any(|c| c.0 == *name)), "{names:?}");
+        }
+    }
+}
+
 #[test]
 fn two_processes_spend_no_more_than_one() {
     let served = |paired| {
