--- a/src/logic.rs
+++ b/src/logic.rs
@@ -536,8 +536,8 @@
         self.customers.entry(id).or_insert_with(|| Customer::new(plan, window, spread, store, now))
     }
 
-    /// Tells the counter of what another process of this gateway has spent and can not tell any more. Danger: it may
-    /// have met customers since it told this one of those that it knew.
+    /// Tells the counter of what another process of this gateway has spent and can not tell any more. Danger:
+    /// it may have met customers since it told this one of those that it knew.
     fn on_spent(&mut self, spent: Spent) {
         let plan = self.cfg.plans.iter().position(|p| p.name == spent.plan);
         let Some(plan) = plan.filter(|_| spent.units.is_finite()) else { return };
