Without a counter, suspect who comes again where uneven parts hold no two requests

Where no total ever comes, one that comes again within two windows is taken to be over its quota by 0.7 only where four even parts hold no request. But who comes again asks for its second: where they hold one and not two, each of hundreds of gateways let it pass, by odds of 0.6 that never learn.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -21,7 +21,7 @@
 const SPARSE: f64 = 2.0; // Drawn counts that a window must hold for its total to tell anything.
 const BELIEF: f64 = 10e6; // What a customer was seen to be is believed for about this long.
 const FIRST_ODDS: [f64; 2] = [0.3, 0.6]; // Odds of being over quota at the start: new here, and come again.
-const UNTOLD: f64 = 0.7; // The same come again where no counter tells and uneven parts hold no request.
+const UNTOLD: f64 = 0.7; // The same come again where no counter tells and uneven parts hold no two.
 const NEAR: f64 = 0.5; // Use, as a part of the quota, from which a request may well be over it.
 const UNEVEN: f64 = 4.0; // Even parts that may pass here by the odds alone: traffic comes unevenly.
 const DOUBT: f64 = 0.7; // How far full counts lift the suspicion that odds cast while the fleet is pressed.
@@ -303,7 +303,8 @@
             return own <= part || c.slice >= units;
         }
         // Danger: parts below one request strand a small quota, one from each floods it: the odds decide.
-        let again = (c.cur.asked || c.prev.asked) && UNEVEN * part < units;
+        // One that comes again asks for its second: uneven parts that hold no two are no sign of room for it.
+        let again = (c.cur.asked || c.prev.asked) && UNEVEN * part < 2.0 * units;
         let odds = self.odds(c).max(if again && self.cfg.counter.is_none() { UNTOLD } else { 0.0 });
         own <= units.max(UNEVEN * part) && (1.0 - odds) > odds * self.cfg.plans[c.plan].over_cost
     }
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -166,7 +166,7 @@
 /// each window go on. Who comes again, though its quota brings hardly one here, is more likely over it.
 #[test]
 fn without_a_counter_one_that_comes_again_far_above_its_part_is_refused_where_that_costs() {
-    for (gateways, over_cost, again) in [(200, 0.5, 0), (200, 0.0, 1), (8, 0.5, 1)] {
+    for (gateways, over_cost, again) in [(200, 0.5, 0), (200, 0.0, 1), (15, 0.5, 0), (8, 0.5, 1)] {
         let plan = Plan { over_cost, ..Plan::rated("plan", 1.6, 5.0) };
         let config = Config { gateways, plans: vec![plan], counter: None, ..config() };
         let mut rig = Rig::new(config, 3);
