--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -371,7 +371,7 @@
                     Phase::New | Phase::Coming | Phase::Body if guest.overdue() => guest.cut(),
                     // Danger: the library reads no further than a request that is in work; whose client has
                     // left is then sent on for nobody.
-                    Phase::Body | Phase::Work if guest.meter.hung_up() => guest.cut(),
+                    Phase::Body | Phase::Work if guest.meter.peer_closed() => guest.cut(),
                     Phase::Reply if guest.stuck(STUCK) => guest.cut(),
                     Phase::Idle if !guest.untouched() => guest.enter(Phase::Coming),
                     // An answer that is not read either.
