See at once that a client has closed, and begin no attempt for it then

Cause: the HTTP library reads no further than a request in work, so an end behind unread bytes was seen only by the look every 100 ms (server.rs LOOK and watch()); pool.attempt() did not ask at all; and an end behind more than the sockets hold (4.3 MB here) does not reach the machine unread.

Change: while a request comes or is in work its connection's task waits for the read side's end (tokio's PRIORITY readiness, which holds READ_CLOSED on Linux). The meter holds its stream without a RefCell for that. Pool::attempt asks the client's connection (readiness and one peek) before it takes or opens a connection, and once more after opening one; a closed client's request ends as one whose client has gone, with no refusal and no retry. The backstop looks every 40 ms while a request waits, else as before. What comes behind a request is read ahead, up to 256 KiB from the spare half of the bodies' memory; behind one in work, more than that is thrown away and its answer closes the connection, and at 16 MiB the connection is cut.

Fakes' addresses no longer run out after 255 in one process.

--- a/node/src/admission.rs
+++ b/node/src/admission.rs
@@ -142,24 +142,32 @@
 
 /// Bytes that bodies may hold together; what is taken comes back by itself.
 #[derive(Clone)]
-pub struct Budget(Rc<Cell<usize>>);
+pub struct Budget {
+    left: Rc<Cell<usize>>,
+    all: usize,
+}
 
 pub struct Held(Budget, usize);
 
 impl Budget {
     pub fn new(bytes: usize) -> Self {
-        Budget(Rc::new(Cell::new(bytes)))
+        Budget { left: Rc::new(Cell::new(bytes)), all: bytes }
     }
 
     pub fn take(&self, bytes: usize) -> Option<Held> {
-        self.0.set(self.0.get().checked_sub(bytes)?);
+        self.left.set(self.left.get().checked_sub(bytes)?);
         Some(Held(self.clone(), bytes))
     }
+
+    /// The same for what bodies go before: half is left to them.
+    pub fn take_spare(&self, bytes: usize) -> Option<Held> {
+        self.take(bytes).filter(|_| self.left.get() >= self.all / 2)
+    }
 }
 
 impl Drop for Held {
     fn drop(&mut self) {
-        let left = &self.0 .0;
+        let left = &self.0.left;
         left.set(left.get() + self.1);
     }
 }
--- a/node/src/backend.rs
+++ b/node/src/backend.rs
@@ -3,7 +3,7 @@
 use crate::admission::{Budget, Held};
 use crate::config::Setup;
 use crate::flow::{gather, Answered, Flow, Gathered, Outbound, Source, Upload, MOST_BODY, SMALL};
-use crate::metered::{self, Broken, Link};
+use crate::metered::{self, Broken, Link, Meter};
 use bytes::Bytes;
 use caperwind::{BackendId, LoadField, LoadReport, Outcome};
 use http_body_util::{BodyExt, Either, Full};
@@ -130,8 +130,13 @@
     pub target: hyper::Uri,
     pub headers: HeaderMap,
     pub body: Payload,
+    /// The connection that it came on.
+    pub client: Rc<Meter>,
 }
 
+/// The client has closed its connection: nothing was sent.
+pub struct ClientClosed;
+
 /// A client's body.
 pub enum Payload {
     /// With its part of what bodies may hold.
@@ -278,23 +283,32 @@
 
     /// One attempt: the message goes once, over one connection. Dropping the future closes that
     /// connection, which is how an attempt is given up. Its answer is waited for until `last`.
-    pub async fn attempt(self: &Rc<Self>, id: BackendId, message: &Message, last: &Cell<Instant>) -> Finish {
+    pub async fn attempt(
+        self: &Rc<Self>,
+        id: BackendId,
+        message: &Message,
+        last: &Cell<Instant>,
+    ) -> Result<Finish, ClientClosed> {
+        // Danger: an attempt that begins after its client has closed is work for nobody, and counts.
+        if message.client.peer_closed() {
+            return Err(ClientClosed);
+        }
         // What can be sent once takes no chance with a connection that may have died unseen.
         let once = matches!(message.body, Payload::Coming(_));
         let mut reused = if once { None } else { self.reuse(id) };
         loop {
             let idle = reused.as_ref().map(|r| r.1);
-            let conn = match reused.take() {
-                Some((conn, _)) => Ok(conn),
-                None => self.open(id).await,
-            };
-            let mut conn = match conn {
-                Ok(conn) => conn,
-                Err(outcome) => return outcome.into(),
+            let mut conn = match reused.take() {
+                Some((conn, _)) => conn,
+                None => match self.open(id).await {
+                    Ok(_) if message.client.peer_closed() => return Err(ClientClosed),
+                    Ok(conn) => conn,
+                    Err(outcome) => return Ok(outcome.into()),
+                },
             };
             // Danger: the backend may have begun to drain, or be elsewhere, since the connection was begun.
             match self.era(id) {
-                None => return Outcome::Full.into(),
+                None => return Ok(Outcome::Full.into()),
                 Some(era) if era != conn.era => continue,
                 Some(_) => {}
             }
@@ -310,19 +324,18 @@
             }
             match conn.link.send(request, length).await {
                 Ok(answer) => {
-                    return self
-                        .read(id, conn, answer, Some(last.get()), || message.body.framed().is_some())
-                        .await
+                    let sent = || message.body.framed().is_some();
+                    return Ok(self.read(id, conn, answer, Some(last.get()), sent).await);
                 }
                 Err(Broken { written: true }) => {
                     // Danger: some let go of an idle connection sooner than they say, and unseen; what is
                     // written to it may have run for all that is known here.
                     self.holds.set(idle.map_or(self.holds.get(), |idle| shorter(self.holds.get(), idle)));
-                    return Outcome::Reset.into();
+                    return Ok(Outcome::Reset.into());
                 }
                 // Not a byte went out on a connection that had died unseen: the attempt is yet to begin.
                 Err(_) if idle.is_some() && conn.link.written() == before => continue,
-                Err(_) => return Outcome::ConnectFailed.into(),
+                Err(_) => return Ok(Outcome::ConnectFailed.into()),
             }
         }
     }
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -2,7 +2,7 @@
 //! It decides nothing.
 
 use crate::admission::Fault;
-use crate::backend::{Finish, Message, Payload, Pool};
+use crate::backend::{ClientClosed, Finish, Message, Payload, Pool};
 use crate::clock::Clock;
 use crate::counter::Counter;
 use crate::discovery::{list_kind, Endpoint, List, Status};
@@ -47,6 +47,8 @@
     },
     /// No promise.
     Failed,
+    /// None: the client was found to have closed its connection.
+    ClientClosed,
 }
 
 /// What a timer is for; those due at once go in this order.
@@ -560,7 +562,10 @@
             let finish = driver.0.pool.attempt(backend, &message, &last).await;
             let mut core = driver.0.core.borrow_mut();
             let now = driver.0.clock.now();
-            driver.end(&mut core, now, id, attempt, finish);
+            match finish {
+                Ok(finish) => driver.end(&mut core, now, id, attempt, finish),
+                Err(ClientClosed) => driver.drop_request(&mut core, now, id),
+            }
             driver.run(&mut core, now);
         });
         open.out.push(Out { attempt, backend, sent: now, task: task.abort_handle() });
@@ -615,7 +620,8 @@
     /// Nobody waits for this request any more: the module is told, what is out is closed.
     fn drop_request(&self, core: &mut Core, now: Micros, id: RequestId) {
         let Some(open) = core.requests.get_mut(&id) else { return };
-        if open.reply.take().is_some() {
+        if let Some(to) = open.reply.take() {
+            drop(to.send(Reply::ClientClosed));
             core.events.push_back(Event::ClientGone { id });
         }
         if open.out.is_empty() {
--- a/node/src/metered.rs
+++ b/node/src/metered.rs
@@ -1,6 +1,8 @@
 //! Sockets that know what has gone through them, and client connections over such.
 
+use crate::admission::{Budget, Held};
 use crate::flow::Outbound;
+use bytes::{Buf, BufMut, BytesMut};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
@@ -10,10 +12,11 @@
 use std::future::Future;
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
-use std::task::{Context, Poll, Waker};
+use std::task::{ready, Context, Poll, Waker};
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -22,10 +25,51 @@
 pub const HEAD_BYTES: usize = 16 * 1024;
 /// Heads are seldom longer.
 const SHORT_HEAD: usize = 1024;
+/// What has come behind a request in work is read ahead up to this, in steps, so that the client's end behind it
+/// is seen: a thousand pipelined requests. Beyond it, bytes are thrown away, and the connection ends with the
+/// answer; at a bound that is several times what sockets hold, it ends at once: a client that sends on and on.
+const READ_AHEAD: usize = 256 * 1024;
+const STEP: usize = 16 * 1024;
+const MOST_SKIPPED: usize = 16 << 20;
+
+/// What has been read before anybody asked for it.
+#[derive(Default)]
+struct ReadAhead {
+    bytes: BytesMut,
+    /// A part of what bodies may hold for each `STEP`.
+    held: Vec<Held>,
+    /// Bytes thrown away behind those.
+    skipped: usize,
+}
+
+impl ReadAhead {
+    /// Room for more; 0 where the bound is reached, `None` where bodies need the memory.
+    fn room(&mut self, budget: &Budget) -> Option<usize> {
+        if self.bytes.len() == self.held.len() * STEP {
+            if self.bytes.len() >= READ_AHEAD {
+                return Some(0);
+            }
+            self.held.push(budget.take_spare(STEP)?);
+        }
+        let room = self.held.len() * STEP - self.bytes.len();
+        self.bytes.reserve(room);
+        Some(room)
+    }
+
+    fn give(&mut self, buf: &mut ReadBuf<'_>) {
+        let n = self.bytes.len().min(buf.remaining());
+        buf.put_slice(&self.bytes[..n]);
+        self.bytes.advance(n);
+        if self.bytes.is_empty() {
+            (self.bytes, self.held) = Default::default();
+        }
+    }
+}
 
 /// A socket as others than its one user see it.
 pub struct Meter {
-    stream: RefCell<TcpStream>,
+    stream: TcpStream,
+    ahead: RefCell<ReadAhead>,
     read: Cell<u64>,
     written: Cell<u64>,
     /// What has been read since `listen`, up to the end of a head; for those who want it.
@@ -36,12 +80,11 @@
 
 impl Meter {
     pub fn new(stream: TcpStream) -> Rc<Self> {
-        let stream = RefCell::new(stream);
-        let (head, goal) = (RefCell::default(), RefCell::default());
-        Rc::new(Meter { stream, read: Cell::new(0), written: Cell::new(0), head, goal })
+        let (ahead, head, goal) = (RefCell::default(), RefCell::default(), RefCell::default());
+        Rc::new(Meter { stream, ahead, read: Cell::new(0), written: Cell::new(0), head, goal })
     }
 
-    /// Bytes taken from the socket so far.
+    /// Bytes taken so far by the socket's user.
     pub fn read(&self) -> u64 {
         self.read.get()
     }
@@ -94,9 +137,12 @@
 
     /// Whether the socket is open and holds nothing unread, as the kernel has it at this moment.
     pub fn quiet(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        let peeked = SockRef::from(&*self.stream.borrow()).peek(&mut byte);
-        peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+        self.ahead.borrow().bytes.is_empty()
+            && self.peek().is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    fn peek(&self) -> io::Result<usize> {
+        SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()])
     }
 }
 
@@ -104,19 +150,95 @@
     /// Whether the other side has ended the connection or its sending. Danger: with bytes in between that
     /// nobody reads, neither a read nor a peek comes to that end; the runtime is told of it beside them.
     pub fn peer_closed(&self) -> bool {
-        let stream = self.stream.borrow();
-        let looked = pin!(stream.ready(Interest::READABLE)).poll(&mut Context::from_waker(Waker::noop()));
-        let mut byte = [MaybeUninit::uninit()];
-        match looked {
+        // On Linux, this waits for the read side's end as well.
+        let told = pin!(self.stream.ready(Interest::PRIORITY)).poll(&mut Context::from_waker(Waker::noop()));
+        match told {
             Poll::Ready(Ok(ready)) if ready.is_read_closed() => true,
             // Where it is not told, the end still shows once there is nothing before it.
-            Poll::Ready(_) => match SockRef::from(&*stream).peek(&mut byte) {
+            _ => match self.peek() {
                 Ok(n) => n == 0,
                 Err(e) => e.kind() != io::ErrorKind::WouldBlock,
             },
-            Poll::Pending => false,
         }
     }
+
+    /// Waits until the runtime is told that the other side has ended its sending, whatever stands unread.
+    pub async fn closed(&self) {
+        let told = self.stream.ready(Interest::PRIORITY).await;
+        if told.is_ok_and(|ready| !ready.is_read_closed()) {
+            std::future::pending().await
+        }
+    }
+
+    /// Reads on while the socket's user does not, up to the bounds; ready where the other side has ended, or
+    /// sends without end. With `skips`, what goes beyond is thrown away, and the user gets nothing more. Danger: an end
+    /// behind more than the sockets hold reaches this machine only as that is read.
+    pub fn poll_ahead(&self, cx: &mut Context<'_>, budget: &Budget, skips: bool) -> Poll<()> {
+        let mut ahead = self.ahead.borrow_mut();
+        loop {
+            if ready!(self.stream.poll_read_ready(cx)).is_err() {
+                return Poll::Ready(());
+            }
+            // Memory that bodies need is not waited for: the end may be told without a read.
+            let room = if ahead.skipped > 0 { Some(0) } else { ahead.room(budget) };
+            let Some(room) = room else { return Poll::Pending };
+            let done = if room > 0 {
+                self.try_read((&mut ahead.bytes).limit(room))
+            } else if !skips {
+                return Poll::Pending;
+            } else if ahead.skipped < MOST_SKIPPED {
+                self.try_read(&mut [0; STEP][..]).inspect(|n| ahead.skipped += n)
+            } else {
+                return Poll::Ready(());
+            };
+            match done {
+                Ok(0) => return Poll::Ready(()),
+                Ok(_) => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return Poll::Ready(()),
+            }
+        }
+    }
+
+    /// Whether bytes were thrown away: no request can follow.
+    pub fn skipped(&self) -> bool {
+        self.ahead.borrow().skipped > 0
+    }
+
+    /// A read, as the runtime's own streams do it.
+    fn try_read(&self, mut buf: impl BufMut) -> io::Result<usize> {
+        let room = buf.remaining_mut();
+        let n = self.stream.try_read_buf(&mut buf)?;
+        if 0 < n && n < room {
+            // What came short has emptied the socket: the runtime need not try again to know.
+            let empty = || Err::<(), _>(io::ErrorKind::WouldBlock.into());
+            let _ = self.stream.try_io(Interest::READABLE, empty);
+        }
+        Ok(n)
+    }
+
+    /// Repeats what may not be possible yet.
+    fn poll_io<T>(
+        &self,
+        mut poll_ready: impl FnMut() -> Poll<io::Result<()>>,
+        mut io: impl FnMut() -> io::Result<T>,
+    ) -> Poll<io::Result<T>> {
+        loop {
+            ready!(poll_ready())?;
+            match io() {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                done => return Poll::Ready(done),
+            }
+        }
+    }
+
+    fn poll_write(
+        &self,
+        cx: &mut Context<'_>,
+        write: impl FnMut() -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        self.poll_io(|| self.stream.poll_write_ready(cx), write)
+    }
 }
 
 /// Counts the bytes that go through the socket.
@@ -137,35 +259,40 @@
 
 impl AsyncRead for Metered {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let done = Pin::new(&mut *self.0.stream.borrow_mut()).poll_read(cx, buf);
-        self.0.read.set(self.0.read.get() + (buf.filled().len() - before) as u64);
-        self.0.keep(&buf.filled()[before..]);
-        done
+        let (meter, before) = (&self.0, buf.filled().len());
+        if meter.ahead.borrow().bytes.is_empty() {
+            if meter.skipped() {
+                return Poll::Pending;
+            }
+            ready!(meter.poll_io(|| meter.stream.poll_read_ready(cx), || meter.try_read(&mut *buf)))?;
+        } else {
+            meter.ahead.borrow_mut().give(buf);
+        }
+        meter.read.set(meter.read.get() + (buf.filled().len() - before) as u64);
+        meter.keep(&buf.filled()[before..]);
+        Poll::Ready(Ok(()))
     }
 }
 
 impl AsyncWrite for Metered {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let done = Pin::new(&mut *self.0.stream.borrow_mut()).poll_write(cx, buf);
-        self.note(done)
+        self.note(self.0.poll_write(cx, || self.0.stream.try_write(buf)))
     }
     fn poll_write_vectored(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let done = Pin::new(&mut *self.0.stream.borrow_mut()).poll_write_vectored(cx, bufs);
-        self.note(done)
+        self.note(self.0.poll_write(cx, || self.0.stream.try_write_vectored(bufs)))
     }
     fn is_write_vectored(&self) -> bool {
-        self.0.stream.borrow().is_write_vectored()
+        true
     }
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.stream.borrow_mut()).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.stream.borrow_mut()).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&self.0.stream).shutdown(Shutdown::Write))
     }
 }
 
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -19,6 +19,7 @@
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
+use std::future::{poll_fn, Future};
 use std::io;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
@@ -37,8 +38,10 @@
 const STUCK: Duration = Duration::from_secs(15);
 /// A connection on which nothing is asked for longer is closed.
 const IDLE_WAIT: Duration = Duration::from_secs(5);
-/// Connections are looked over this often.
+/// Connections are looked over this often, and while a request waits: the end of its client's connection is told
+/// at once by itself, this is for where it is not.
 const LOOK: Duration = Duration::from_millis(100);
+const LOOK_WAITING: Duration = Duration::from_millis(40);
 /// A request that takes longer than this to come gives way where connections run short; an answer that
 /// was given less than `SETTLE` ago may still be on its way.
 const SLOW: Duration = Duration::from_millis(300);
@@ -111,6 +114,11 @@
         self.meter.written() == written && at.elapsed() >= for_long
     }
 
+    /// Its request waits for an answer, or for more of itself.
+    fn waiting(&self) -> bool {
+        matches!(self.phase.get(), Phase::Body | Phase::Work)
+    }
+
     /// Nothing has been read since the phase began.
     fn untouched(&self) -> bool {
         self.meter.read() == self.read.get()
@@ -155,6 +163,8 @@
     guests: RefCell<BTreeMap<u64, Rc<Guest>>>,
     next: Cell<u64>,
     left: Notify,
+    /// A request has begun to wait.
+    waits: Notify,
 }
 
 /// A guest's place, given up when its task ends in whatever way.
@@ -240,9 +250,10 @@
 
 impl Server {
     pub fn new(driver: Shared, figures: Rc<Figures>, most: usize, bodies: Budget) -> Rc<Self> {
-        let (guests, next, left) = (RefCell::default(), Cell::new(0), Notify::new());
+        let (guests, next) = (RefCell::default(), Cell::new(0));
+        let (left, waits) = (Notify::new(), Notify::new());
         let (most, open, succeeded) = (Cell::new(most), Cell::new(false), Cell::new(false));
-        Rc::new(Server { driver, figures, most, open, succeeded, bodies, guests, next, left })
+        Rc::new(Server { driver, figures, most, open, succeeded, bodies, guests, next, left, waits })
     }
 
     pub fn empty(&self) -> bool {
@@ -357,7 +368,10 @@
     pub async fn watch(self: Rc<Self>) {
         let mut drained: Option<Instant> = None;
         loop {
-            sleep(LOOK).await;
+            let waiting = || self.guests.borrow().values().any(|g| g.waiting());
+            if waiting() || timeout(LOOK, self.waits.notified()).await.is_ok() {
+                sleep(LOOK_WAITING).await;
+            }
             drained = self.driver.draining().then(|| drained.unwrap_or_else(Instant::now));
             if drained.is_some_and(|at| at.elapsed() >= BY_ANSWER) {
                 self.close_idle(ABOUT_TO_ASK);
@@ -369,8 +383,6 @@
                 let age = guest.since.get().elapsed();
                 match guest.phase.get() {
                     Phase::New | Phase::Coming | Phase::Body if guest.overdue() => guest.cut(),
-                    // Danger: the library reads no further than a request that is in work; whose client has
-                    // left is then sent on for nobody.
                     Phase::Body | Phase::Work if guest.meter.peer_closed() => guest.cut(),
                     Phase::Reply if guest.stuck(STUCK) => guest.cut(),
                     Phase::Idle if !guest.untouched() => guest.enter(Phase::Coming),
@@ -416,7 +428,7 @@
                 let flows = matches!(answer.body(), Either::Right(_));
                 guest.wrote.set((guest.meter.written(), Instant::now()));
                 guest.enter(if flows { Phase::Reply } else { Phase::Idle });
-                if server.driver.closing() || server.driver.draining() {
+                if server.driver.closing() || server.driver.draining() || guest.meter.skipped() {
                     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 Ok::<_, Infallible>(answer)
@@ -426,11 +438,15 @@
         // Times are kept by `watch`, over all connections at once.
         http.header_read_timeout(None).max_buf_size(HEAD_BYTES);
         let mut conn = pin!(http.serve_connection(TokioIo::new(Metered(guest.meter.clone())), service));
+        let mut departure = pin!(self.departure(guest));
         let mut told = false;
         loop {
             tokio::select! {
+                // The phase goes by what the connection does: it comes first.
+                biased;
                 // An error here is the client's: it broke off or sent no HTTP.
                 _ = conn.as_mut() => return,
+                () = departure.as_mut() => return,
                 () = guest.close.notified(), if !told => {
                     told = true;
                     conn.as_mut().graceful_shutdown();
@@ -439,6 +455,18 @@
         }
     }
 
+    /// Waits until the client closes its connection while its request waits. Danger: the library reads no
+    /// further than that request; of whose client has left is then sent on for nobody.
+    async fn departure(&self, guest: &Guest) {
+        let mut closed = pin!(guest.meter.closed());
+        poll_fn(|cx| match guest.phase.get() {
+            _ if !guest.waiting() => Poll::Pending,
+            _ if closed.as_mut().poll(cx).is_ready() => Poll::Ready(()),
+            phase => guest.meter.poll_ahead(cx, &self.bodies, phase == Phase::Work),
+        })
+        .await
+    }
+
     /// Whether this process serves and goes on to.
     pub fn ready(&self) -> bool {
         self.open.get() && self.driver.ready() && !self.driver.closing() && !self.driver.draining()
@@ -474,6 +502,7 @@
         }
         // What has been read counts from the head on, and so does its time.
         guest.phase.set(Phase::Body);
+        self.waits.notify_one();
         let small = length.filter(|n| *n <= SMALL as u64).and_then(|n| usize::try_from(n).ok());
         let held = self.bodies.take(small.unwrap_or(SMALL));
         if held.is_none() && small.is_some() {
@@ -509,7 +538,7 @@
         strip_hop_by_hop(&mut headers);
         // A target in absolute form goes on as a path, as backends expect it.
         let target = head.uri.path_and_query().map_or_else(Uri::default, |p| Uri::from(p.clone()));
-        let message = Message { method: head.method, target, headers, body };
+        let message = Message { method: head.method, target, headers, body, client: guest.meter.clone() };
         // The request's time counts from here, if its last byte has come.
         let mut ticket = match self.driver.request(message, terms) {
             Ok(ticket) => ticket,
@@ -572,6 +601,10 @@
                 self.figures.settle(class, Ending::Failed);
                 plain(StatusCode::GATEWAY_TIMEOUT, "failed\n")
             }
+            Reply::ClientClosed => {
+                guest.cut();
+                std::future::pending().await
+            }
         }
     }
 }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -96,9 +96,13 @@
 
 /// A loopback address of this test's own, so that a port freed here is not taken elsewhere.
 pub fn own_address() -> String {
-    static NEXT: AtomicU32 = AtomicU32::new(1);
-    let (pid, n) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
-    format!("127.{}.{}.{}", 1 + pid / 250 % 250, 1 + pid % 250, n)
+    /// Those of one process, and processes that are told apart.
+    const MOST: u32 = 4_000;
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let n = NEXT.fetch_add(1, Ordering::Relaxed);
+    assert!(n < MOST, "no address is left");
+    let [_, a, b, c] = (0x0001_0000 + std::process::id() % MOST * MOST + n).to_be_bytes();
+    format!("127.{a}.{b}.{c}")
 }
 
 /// A listener whose connections are served by a function, a thread each.
@@ -555,11 +559,19 @@
     /// With so many bytes sent that nobody has asked for.
     CloseBehind(usize),
     ResetBehind(usize),
+    /// With as many bytes sent, up to so many, as the sockets take.
+    CloseFull(usize),
 }
 
 /// Few bytes end in the gateway's hands, many stay in the socket.
-pub const LEAVES: [Leave; 5] =
-    [Leave::Close, Leave::Reset, Leave::CloseBehind(20), Leave::CloseBehind(20_000), Leave::ResetBehind(20)];
+pub const LEAVES: [Leave; 6] = [
+    Leave::Close,
+    Leave::Reset,
+    Leave::CloseBehind(20),
+    Leave::CloseBehind(20_000),
+    Leave::ResetBehind(20),
+    Leave::ResetBehind(20_000),
+];
 
 pub struct Client {
     from: BufReader<TcpStream>,
@@ -575,10 +587,26 @@
         self.from.get_mut().write_all(text.as_bytes()).expect("the gateway reads");
     }
 
+    /// Sends so many bytes at most, until nothing more is taken for a while.
+    fn fill(&mut self, most: usize) {
+        let (stream, bytes) = (self.from.get_mut(), [b'x'; 65_536]);
+        stream.set_nonblocking(true).expect("an option");
+        let (mut sent, mut last) = (0, Instant::now());
+        while sent < most && last.elapsed() < Duration::from_millis(20) {
+            match stream.write(&bytes) {
+                Ok(n) => (sent, last) = (sent + n, Instant::now()),
+                Err(_) => std::thread::sleep(Duration::from_millis(1)),
+            }
+        }
+    }
+
     pub fn leave(mut self, how: Leave) {
         if let Leave::CloseBehind(n) | Leave::ResetBehind(n) = how {
             self.send(&"x".repeat(n));
         }
+        if let Leave::CloseFull(most) = how {
+            self.fill(most);
+        }
         if let Leave::Reset | Leave::ResetBehind(_) = how {
             SockRef::from(self.from.get_ref()).set_linger(Some(Duration::ZERO)).expect("an option");
         }
--- a/node/tests/metered.rs
+++ b/node/tests/metered.rs
@@ -1,13 +1,19 @@
-//! Sockets that know what goes through them.
+//! Sockets that know what goes through them and when the other side has ended.
 
 use badgerglade::flow::Outbound;
-use badgerglade::metered::{head_length, Broken, Link};
+use badgerglade::metered::{head_length, Broken, Link, Meter};
 use bytes::Bytes;
 use http_body_util::{Either, Full};
 use hyper::Request;
+use socket2::SockRef;
+use std::io::Write;
+use std::time::Duration;
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::{Builder, LocalOptions};
+use tokio::time::timeout;
+
+const LONG: Duration = Duration::from_secs(20);
 
 fn post(body: Vec<u8>) -> Request<Outbound> {
     let request = Request::post("/orden-nueva/0000000000000007?a=b").header("host", "backend.local");
@@ -66,3 +72,42 @@
         assert!(matches!(answer, Err(Broken { written: false })));
     });
 }
+
+/// A client's side, and the meter of ours.
+async fn client() -> (std::net::TcpStream, std::rc::Rc<Meter>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let there = std::net::TcpStream::connect(listener.local_addr().expect("an address"));
+    (there.expect("a connection"), Meter::new(listener.accept().await.expect("a connection").0))
+}
+
+/// Guards against a client that is taken to be there because the runtime has not been told of its end yet.
+#[test]
+fn an_end_is_known_before_the_runtime_is_told() {
+    run(async {
+        for reset in [false, true] {
+            let (there, meter) = client().await;
+            assert!(!meter.peer_closed());
+            if reset {
+                SockRef::from(&there).set_linger(Some(Duration::ZERO)).expect("an option");
+            }
+            drop(there);
+            assert!(meter.peer_closed(), "reset: {reset}");
+        }
+    });
+}
+
+/// Guards against an end that nobody is told of because of what stands unread before it.
+#[test]
+fn an_end_is_told_whatever_stands_unread_before_it() {
+    run(async {
+        for bytes in [0, 20, 20_000] {
+            let (mut there, meter) = client().await;
+            there.write_all(&vec![b'x'; bytes]).expect("room");
+            assert!(timeout(Duration::from_millis(20), meter.closed()).await.is_err());
+            assert!(!meter.peer_closed());
+            drop(there);
+            timeout(LONG, meter.closed()).await.expect("the end is told");
+            assert!(meter.peer_closed(), "{bytes} bytes before it");
+        }
+    });
+}
--- a/node/tests/pool.rs
+++ b/node/tests/pool.rs
@@ -1,8 +1,145 @@
 //! The way to the backends, without a gateway round it.
 
-use badgerglade::backend::{parse_billed, parse_load, shorter};
-use caperwind::LoadField;
+mod common;
+
+use badgerglade::admission::Budget;
+use badgerglade::backend::{parse_billed, parse_load, shorter, ClientClosed, Finish, Message, Payload, Pool};
+use badgerglade::config::{Bounds, Setup};
+use badgerglade::metered::Meter;
+use caperwind::{BackendId, LoadField, Outcome};
+use common::*;
+use std::cell::Cell;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::{Builder, LocalOptions};
+use tokio::time::{timeout, Instant};
+
+const ID: BackendId = BackendId { address: [127, 0, 0, 1], port: 1 };
+/// Nothing here waits for anybody.
+const AT_ONCE: Duration = Duration::from_millis(60);
+
+fn run<T>(test: impl Future<Output = T>) -> T {
+    let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
+    runtime.expect("a runtime").block_on(test)
+}
+
+/// A pool of one backend, with room for so many connections.
+fn pool(backend: SocketAddr, most: usize) -> Rc<Pool> {
+    let bounds = Bounds { clients: 8, backends: most, counter: 1 };
+    let module = caperwind_benchlink::parse_settings(settings(0, 10.0, 10.0).as_bytes()).expect("settings");
+    let pool = Pool::new(&Setup {
+        name: String::new(),
+        listen: backend,
+        discovery: backend,
+        counter: None,
+        ops: None,
+        seed: 0,
+        known: None,
+        module,
+        alone: bounds,
+        paired: bounds,
+        inherited: None,
+        meet: None,
+        ops_connections: 1,
+        body_bytes: 1 << 20,
+        idle_retire: LONG,
+    });
+    pool.set(ID, backend, true, false);
+    pool
+}
+
+/// A client's connection, and a message that came on it.
+async fn client() -> (std::net::TcpStream, Message) {
+    let listener = TcpListener::bind((own_address(), 0)).await.expect("a free port");
+    let there =
+        std::net::TcpStream::connect(listener.local_addr().expect("an address")).expect("a connection");
+    let (here, _): (TcpStream, _) = listener.accept().await.expect("a connection");
+    let held = Budget::new(1024).take(0).expect("room");
+    let body = Payload::Whole { body: "{42}".into(), _held: held };
+    let headers = [("host", "b"), ("x-correlation-id", "9b1f")];
+    let headers = headers.map(|(k, v)| (k.parse().expect("a name"), v.parse().expect("a value")));
+    let (method, target) = (hyper::Method::POST, "/orden-nueva/0000000000000007".parse().expect("a path"));
+    let message =
+        Message { method, target, headers: headers.into_iter().collect(), body, client: Meter::new(here) };
+    (there, message)
+}
+
+async fn attempt(pool: &Rc<Pool>, message: &Message) -> Result<Finish, ClientClosed> {
+    pool.attempt(ID, message, &Cell::new(Instant::now() + LONG)).await
+}
+
+/// Guards against an attempt for a client that has just closed its connection, of which the runtime has not been
+/// told yet: nothing is sent, neither over a connection that is at hand nor over a new one, and none is made.
+#[test]
+fn no_attempt_begins_for_a_client_that_has_closed() {
+    run(async {
+        for at_hand in [false, true] {
+            let backend = Fake::start(|_| ok("x"));
+            let pool = pool(backend.address, 8);
+            if at_hand {
+                let (_stays, message) = client().await;
+                assert!(attempt(&pool, &message).await.is_ok_and(|f| f.outcome == Outcome::Ok));
+                backend.next();
+                tokio::time::sleep(SETTLED).await;
+            }
+            let (goes, message) = client().await;
+            drop(goes);
+            assert!(attempt(&pool, &message).await.is_err(), "sent on, a connection at hand: {at_hand}");
+            // The connection at hand is still there for the next one.
+            assert_eq!(pool.held(), usize::from(at_hand));
+            let (_stays, message) = client().await;
+            assert!(attempt(&pool, &message).await.is_ok_and(|f| f.outcome == Outcome::Ok));
+            backend.next();
+            assert_eq!(backend.seen.try_iter().count(), 0);
+            assert_eq!(backend.connections.load(std::sync::atomic::Ordering::SeqCst), 1);
+        }
+    });
+}
+
+/// Guards against the same where the client closes while the connection comes up.
+#[test]
+fn nothing_is_sent_over_a_new_connection_for_a_client_that_has_closed() {
+    run(async {
+        let listener = TcpListener::bind((own_address(), 0)).await.expect("a free port");
+        let pool = pool(listener.local_addr().expect("an address"), 8);
+        let (goes, message) = client().await;
+        let last = Cell::new(Instant::now() + LONG);
+        let mut begun = std::pin::pin!(pool.attempt(ID, &message, &last));
+        // Begun, and no further: the runtime has not been told of the connection.
+        std::future::poll_fn(|cx| std::task::Poll::Ready(begun.as_mut().poll(cx).is_pending())).await;
+        drop(goes);
+        assert!(timeout(AT_ONCE, begun).await.expect("no wait").is_err());
+        let (mut there, _) = listener.accept().await.expect("a connection");
+        let read = timeout(LONG, there.read_u8()).await.expect("an end");
+        assert!(read.is_err(), "something was sent");
+    });
+}
+
+/// Guards against requests that wait for room in the pool: where all connections are taken, none is waited for, so
+/// that none can begin later for a client that has left meanwhile.
+#[test]
+fn no_attempt_waits_for_room() {
+    run(async {
+        let backend = Fake::start(|_| Reaction::Silence);
+        let pool = pool(backend.address, 1);
+        let ((_one, first), (_other, second)) = (client().await, client().await);
+        let taken = pool.clone();
+        let out = tokio::task::spawn_local(async move { attempt(&taken, &first).await.is_ok() });
+        while pool.tries.get() == 0 {
+            tokio::task::yield_now().await;
+        }
+        let found = timeout(AT_ONCE, attempt(&pool, &second)).await.expect("no wait");
+        assert!(found.is_ok_and(|f| f.outcome == Outcome::Moot));
+        // Given up, the first one's room is free at once.
+        out.abort();
+        assert!(out.await.is_err());
+        assert_eq!(pool.held(), 0);
+    });
+}
 
 /// Guards against unsafe requests lost one after another to connections that are let go, unseen, a tenth of a
 /// second after their last answer; one that broke in full use tells nothing of that.
