Use counter connections in turn, so that what a burst of calls needs stays open

Cause: since a connection settles for 10 ms after its answer, calls that come at once need several; counter.rs, reuse, took the one used last, the others stood idle for 3 s and were dropped, and the next burst opened new ones. Each takes a round trip of its call's time, and some never come up.

--- a/node/src/counter.rs
+++ b/node/src/counter.rs
@@ -150,10 +150,11 @@
         });
     }
 
-    /// The most recently used idle connection that has settled.
+    /// The longest idle connection that has settled: used in turn, they rest longest, and all that a burst needs stay
+    /// open. A new one takes a round trip of its call's time, and may be one that never comes up.
     fn reuse(&self) -> Option<Link> {
         let mut idle = self.idle.borrow_mut();
-        while let Some(at) = idle.iter().rposition(|(_, since)| since.elapsed() >= SETTLE) {
+        while let Some(at) = idle.iter().position(|(_, since)| since.elapsed() >= SETTLE) {
             let (link, since) = idle.remove(at);
             if link.usable() && since.elapsed() < IDLE_TIMEOUT {
                 return Some(link);
