--- a/node/tests/connections.rs
+++ b/node/tests/connections.rs
@@ -77,19 +77,25 @@
 /// Guards against a backend that is told of time that has passed while its connection came up.
 #[test]
 fn a_late_connection_s_time_is_not_told_as_left() {
-    let late = Mute::start();
-    let scene = scene(vec![entry("s-0", late.address, "SERVING")], LATE);
-    let began = Instant::now();
-    let mut client = scene.gateway.client();
-    client.send(&request("orden-nueva", 7, 4000));
-    while scene.gateway.figures()["in_progress"] != 1 {}
-    let late = late.open(|_| ok("x"));
-    assert_eq!(client.answer().expect("an answer").status(), 200);
-    let seen = late.next();
-    let left = seen.header("x-time-left-ms").and_then(|v| v.parse().ok()).expect("a time");
-    let gone = seen.at.duration_since(began);
-    assert!(gone > Duration::from_millis(100), "it came up at once: {gone:?}");
-    assert!(Duration::from_millis(left) + gone < Duration::from_millis(4050), "{left} ms after {gone:?}");
+    // Where this machine is busy elsewhere, the connection may be begun after the other side has opened: then anew.
+    for _ in 0..20 {
+        let late = Mute::start();
+        let scene = scene(vec![entry("s-0", late.address, "SERVING")], LATE);
+        let began = Instant::now();
+        let mut client = scene.gateway.client();
+        client.send(&request("orden-nueva", 7, 4000));
+        while scene.gateway.figures()["in_progress"] != 1 {}
+        let late = late.open(|_| ok("x"));
+        assert_eq!(client.answer().expect("an answer").status(), 200);
+        let seen = late.next();
+        let left = seen.header("x-time-left-ms").and_then(|v| v.parse().ok()).expect("a time");
+        let gone = seen.at.duration_since(began);
+        assert!(Duration::from_millis(left) + gone < Duration::from_millis(4050), "{left} ms after {gone:?}");
+        if gone > Duration::from_millis(100) {
+            return;
+        }
+    }
+    panic!("it came up at once, each time");
 }
 
 /// Guards against a second answer to one request that is taken for the answer to the next: it comes up to 4 ms
