Name slow start, subsets, outlier ejection and pending reads as the field does

In the module and what it keeps: setting aside is ejection, the budget for cold backends and its turns are slow start, a gateway's lot of backends is its subset, a request held for a total is a pending read. The log's line says ejected where it said aside.

--- a/node/src/backend.rs
+++ b/node/src/backend.rs
@@ -265,7 +265,7 @@
 
     async fn open(&self, id: BackendId) -> Result<Conn, Outcome> {
         let (address, era) = self.peers.borrow().get(&id).map(|p| (p.address, p.era)).ok_or(Outcome::Moot)?;
-        // Danger: want of a descriptor here is no news of the backend, which would be set aside for it.
+        // Danger: want of a descriptor here is no news of the backend, which would be ejected for it.
         let seat = self.seat().ok_or(Outcome::Moot)?;
         match timeout(self.connect, Link::connect(address)).await {
             Ok(Ok(link)) => Ok(Conn { link, era, _seat: seat }),
@@ -396,7 +396,7 @@
         Finish { outcome, load, billed, answer }
     }
 
-    /// Asks a backend how it is, over a new connection. Danger: one is probed because it was set aside,
+    /// Asks a backend how it is, over a new connection. Danger: one is probed because it was ejected,
     /// and what was open to it may lead to a machine that was cut off: silent, whatever the new one says.
     pub async fn probe(self: &Rc<Self>, id: BackendId) -> Finish {
         self.close_idle(id);
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -714,7 +714,7 @@
         let [total, away, unanswered, overdue, late] = calls;
         eprintln!(
             "refused: over {} blind {} pressed {} nowhere {}; expected {:.0} ms idle {:.0} ms; out {} lost {} open {}; \
-             backends {} aside {}; attempts: ok {ok} error {error} full {full} timeout {timeout} \
+             backends {} ejected {}; attempts: ok {ok} error {error} full {full} timeout {timeout} \
              connect {connect} reset {reset} cancelled {cancelled} moot {moot}; counter: ok {total} away {away} \
              unanswered {unanswered} overdue {overdue} late {late} pace {:.2} window {:.0}; held: customers {} names {}",
             v.refusals.over - before.over,
@@ -727,7 +727,7 @@
             v.lost,
             core.requests.len(),
             v.listed,
-            v.aside,
+            v.ejected,
             v.pace,
             v.calls_most,
             v.customers,
--- a/node/tests/gateway.rs
+++ b/node/tests/gateway.rs
@@ -70,7 +70,7 @@
 /// Guards against a backend that was cut off being judged by a connection from before: it is probed
 /// over a new one, though an older one stands idle.
 #[test]
-fn a_backend_set_aside_is_probed_over_a_new_connection() {
+fn an_ejected_backend_is_probed_over_a_new_connection() {
     let all = std::sync::Barrier::new(3);
     let count = AtomicUsize::new(0);
     let backend = Fake::start(move |_| match count.fetch_add(1, Ordering::SeqCst) {
@@ -86,7 +86,7 @@
     // Three at once need three connections, and leave all idle.
     clients.iter_mut().for_each(|c| c.send(&request("consulta", 7, 2000)));
     clients.iter_mut().for_each(|c| assert_eq!(c.answer().expect("an answer").status(), 200));
-    // Two break in a row, which sets the backend aside.
+    // Two break in a row, which ejects the backend.
     clients[..2].iter_mut().for_each(|c| drop(c.ask(&request("consulta", 7, 2000))));
     let probe = std::iter::from_fn(|| Some(backend.next())).find(|s| s.path() == "/load").expect("a probe");
     assert!(probe.conn >= 3, "probed over connection {}", probe.conn);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -32,12 +32,12 @@
 const LOST: f64 = 4.0; // Usual times by which one sent later must be answered first for one to be lost.
 const OVERDUE: f64 = 2.0; // Times the latency of late that one time-out counts for at most.
 const GAIN: f64 = 0.1; // Weight of a new sample in slow averages.
-const SICK_RUN: u32 = 3; // Time-outs in a row before a backend is set aside.
+const SICK_RUN: u32 = 3; // Time-outs in a row before a backend is ejected.
 const DEAD_RUN: u32 = 2; // Broken or failed connections in a row before it is asked whether it lives.
 const ASKED: f64 = 50_000.0; // How soon it is: well ones, whose connections alone break, are soon back.
 const GUESSED: f64 = 5e6; // One taken to have died is taken to be cold for so long: by then the list tells.
 const SICK_ERRORS: f64 = 0.4; // Part of late answers that are errors before it is.
-const ASIDE: f64 = 500_000.0; // First wait before it is tried; doubles up to 8 times this.
+const EJECTION: f64 = 500_000.0; // First wait before it is tried; doubles up to 8 times this.
 const PRESS: (f64, f64) = (0.35, 0.6); // Part of the aim completion may take, for least and most worth.
 const STRETCH: f64 = 7.0; // Queue, as a multiple of what idle backends take, above which work is refused.
 const PRIOR: f64 = 2.0; // Requests that own throughput must outweigh to count for more than late latency.
@@ -51,7 +51,7 @@
 const SUBSET: f64 = 16.0; // Backends that one gateway keeps to, on average, while they do.
 const AFAR: f64 = 1.03; // A backend in another zone must be this much better.
 const SCATTER: f64 = 0.15; // Randomness in choice, so that gateways do not herd.
-const COLD_PART: f64 = 0.55; // Part of its share of the fall budget that a gateway uses.
+const SLOW_START_PART: f64 = 0.55; // Part of its share of the fall budget that a gateway uses.
 
 impl Customer {
     /// The design's weighted sliding estimate at part `x` of the window, of all and of own.
@@ -135,11 +135,11 @@
                     // Never sent: no news of the backend, which is asked again.
                     Some(Backend { health, .. }) if outcome == Outcome::Moot => {
                         if let Health::Trial { wait, dead } = *health {
-                            *health = Health::Aside { until: self.now + wait as Micros, wait, dead };
+                            *health = Health::Ejected { until: self.now + wait as Micros, wait, dead };
                         }
                     }
                     // One that answers lives, though it is not well: it does not come back cold.
-                    _ => self.set_aside(backend, !matches!(outcome, Outcome::Error | Outcome::Full)),
+                    _ => self.eject(backend, !matches!(outcome, Outcome::Error | Outcome::Full)),
                 }
             }
             Event::Message { .. } => {}
@@ -346,7 +346,7 @@
         let due = self.sync_queue.iter().take_while(|s| s.0 <= self.now).take(SYNCS_WEIGHED);
         let worth = |id: &CustomerId| {
             let c = &self.customers[id];
-            (c.cur.unsent + c.prev.unsent + c.held.len() as f64) * self.cfg.plans[c.plan].price
+            (c.cur.unsent + c.prev.unsent + c.pending.len() as f64) * self.cfg.plans[c.plan].price
         };
         due.copied().max_by(|a, b| worth(&a.1).total_cmp(&worth(&b.1)))
     }
@@ -376,7 +376,7 @@
         let (tight, busy) = (c.prev.all() > ample && spare, c.cur.all() > ample && spare);
         // Danger: the others may have used up the last window while nothing came through here. Who
         // waits for a fresh total gets both; where calls are short, only when the first does not settle it.
-        let (waits, first) = (!c.held.is_empty(), c.held.iter().any(|h| !h.covered));
+        let (waits, first) = (!c.pending.is_empty(), c.pending.iter().any(|h| !h.covered));
         let unread = waits && c.prev.told_at.is_none() && (spare || !first);
         let wanted = [(tight || unread) && c.prev_reads == 0, tight || busy || first];
         for (i, t) in [&mut c.prev, &mut c.cur].into_iter().enumerate() {
@@ -385,7 +385,7 @@
             }
             (t.in_call, t.unsent, t.fix, t.calling) = (t.unsent + t.fix, 0.0, 0.0, true);
             c.prev_reads += u32::from(i == 0);
-            c.held.iter_mut().for_each(|h| h.covered |= i == 1);
+            c.pending.iter_mut().for_each(|h| h.covered |= i == 1);
             let (name, window) = names[i];
             self.names.insert(name, (id, window));
             self.calls_out += 1.0;
@@ -464,10 +464,10 @@
             // Danger: a crowded counter's late total still settles it; decided without, its call was in vain.
             self.set_timer(timeout as Micros, Task::Overdue(id));
         } else if !calling {
-            self.settle_held(id, answered);
+            self.settle_pending(id, answered);
         }
         let c = &self.customers[&id];
-        if c.held.iter().any(|h| !h.covered) && !c.cur.calling {
+        if c.pending.iter().any(|h| !h.covered) && !c.cur.calling {
             self.schedule(id, 0.0);
         } else if c.cur.unsent != 0.0 || c.prev.unsent != 0.0 {
             self.schedule(id, if answered && self.pace < 1.0 { 0.0 } else { SYNC * 0.5 });
@@ -509,8 +509,8 @@
     /// Answers what an overdue call left waiting, once its total has come or has been waited for in vain.
     fn settle_overdue(&mut self, id: CustomerId, told: bool) {
         let Some(c) = self.customers.get(&id) else { return };
-        if !c.cur.calling && !c.prev.calling && c.held.iter().any(|h| h.covered) {
-            self.settle_held(id, told);
+        if !c.cur.calling && !c.prev.calling && c.pending.iter().any(|h| h.covered) {
+            self.settle_pending(id, told);
         }
     }
 
@@ -552,22 +552,22 @@
 
     /// Answers the requests whose units the last call carried: a total read milliseconds ago
     /// includes them, so it is the estimate (or the store), not the part, that judges them.
-    fn settle_held(&mut self, id: CustomerId, told: bool) {
+    fn settle_pending(&mut self, id: CustomerId, told: bool) {
         let x = self.roll(id);
         let (limit, window) = (self.limit(self.customers[&id].plan), self.window(self.customers[&id].plan));
         let Some(c) = self.customers.get_mut(&id) else { return };
-        let asks = c.held.iter().map(|h| h.units).fold(0.0, f64::max);
+        let asks = c.pending.iter().map(|h| h.units).fold(0.0, f64::max);
         let unread = c.prev.told_at.is_none() && c.prev_reads == 0;
-        let (covered, later): (Vec<_>, Vec<_>) = c.held.drain(..).partition(|h| h.covered || !told);
+        let (covered, later): (Vec<_>, Vec<_>) = c.pending.drain(..).partition(|h| h.covered || !told);
         let reserved: f64 = covered.iter().chain(&later).map(|h| h.counted).sum();
         // The last window, if full, may still stand in the way: read only where that would decide.
         let cur = c.cur.all() - reserved + asks;
         if told && unread && !covered.is_empty() && cur > limit * x && cur <= limit {
-            c.held = covered.into_iter().chain(later).collect();
+            c.pending = covered.into_iter().chain(later).collect();
             self.sync(id);
             return;
         }
-        c.held = later;
+        c.pending = later;
         let both = c.prev.told_at.is_some();
         let mut est = c.all(x) - reserved;
         for h in covered {
@@ -639,7 +639,7 @@
                 let Some(c) = self.customers.get_mut(&cid) else { return };
                 let (counted, later) = if counted < 2.0 * units { (counted, 0.0) } else { (0.0, counted) };
                 c.cur.unsent += counted;
-                c.held.push(Held { id, units, counted, later, again, covered: false });
+                c.pending.push(PendingRead { id, units, counted, later, again, covered: false });
                 if !c.cur.calling {
                     self.schedule(cid, 0.0);
                 }
@@ -700,7 +700,7 @@
         // Danger: a backend that answers its first few fast gathers a queue before it shows.
         let crowd = CROWD * (self.waiting() / usable.min(SUBSET)) + 1.0;
         let tried = |b: &Backend| self.requests[&id].attempts.iter().any(|a| a.backend == b.row.backend);
-        let may = |b: &Backend| !tried(b) && self.may_send(id, b) && self.cold_allows(b, usable);
+        let may = |b: &Backend| !tried(b) && self.may_send(id, b) && self.slow_start_allows(b, usable);
         let fits = |b: &Backend| self.usable(b) && b.waiting() <= crowd && may(b);
         // A turn at a cold backend is used when it comes: the others count on its being used.
         let due = |b: &&Backend| b.turn >= 1.0 && self.warmth(b) < 1.0 && fits(b);
@@ -708,7 +708,7 @@
         let mut scored: Vec<_> = due.map(|b| (self.score(id, b, mean), b.row.backend)).collect();
         let mut keep = (SUBSET / usable).min(1.0);
         // Danger: hundreds of gateways that each use every backend fill its connections, and none learns
-        // much of any. Each keeps to its own lot of them, widened while none of these will do.
+        // much of any. Each keeps to a subset of its own, widened while none of these will do.
         while scored.is_empty() && keep < 2.0 {
             let lot = self.backends.values().filter(|b| self.lot(b.row.key()) < keep && fits(b));
             scored.extend(lot.map(|b| (self.score(id, b, mean), b.row.backend)));
@@ -750,7 +750,7 @@
         // Danger: a client that gives up sooner than the aim makes waste of work sent on too late for it.
         let aim = ((self.cfg.classes[class].aim + least) / 2).min(r.deadline.saturating_sub(self.now));
         let within = aim as f64 * (PRESS.0 + (PRESS.1 - PRESS.0) * rank);
-        // Held too long, servers do less: the queue is kept to a few times what idle ones take.
+        // PendingRead too long, servers do less: the queue is kept to a few times what idle ones take.
         let idle = if self.mix_base > 0.0 { self.mix_base } else { SECOND };
         let within = within.min(idle * STRETCH * (0.5 + rank));
         // Room that is short goes to those likely inside their quota first.
@@ -833,20 +833,20 @@
     }
 
     /// Takes a backend out of use; one taken to be dead returns cold. Danger: where all are slow none is
-    /// an outlier; only the dead are set aside once a third of the fleet is.
-    fn set_aside(&mut self, id: BackendId, dead: bool) {
+    /// an outlier; only the dead are ejected once a third of the fleet is.
+    fn eject(&mut self, id: BackendId, dead: bool) {
         let lost = self.backends.values().filter(|b| b.listed && b.health != Health::Well).count();
         let few = 3 * lost < self.backends.len();
         // Danger: back before its next request would have come, it has been spared nothing.
         let lull = (2.0 * self.usable_count().min(SUBSET) / self.sent_rate * SECOND).min(BELIEF);
         let Some(b) = self.backends.get_mut(&id) else { return };
         let (wait, dead) = match b.health {
-            Health::Trial { wait, dead: was } => ((wait * 2.0).min(8.0 * ASIDE), dead || was),
-            Health::Well if dead => (ASIDE, dead),
-            Health::Well if few => (ASIDE.max(lull).max((2.0 * b.spared).min(8.0 * ASIDE)), dead),
+            Health::Trial { wait, dead: was } => ((wait * 2.0).min(8.0 * EJECTION), dead || was),
+            Health::Well if dead => (EJECTION, dead),
+            Health::Well if few => (EJECTION.max(lull).max((2.0 * b.spared).min(8.0 * EJECTION)), dead),
             _ => return,
         };
-        b.health = Health::Aside { until: self.now + wait as Micros, wait, dead };
+        b.health = Health::Ejected { until: self.now + wait as Micros, wait, dead };
         (b.fails, b.spared) = (0, wait);
     }
 
@@ -866,13 +866,13 @@
         self.class_let.iter_mut().for_each(|p| p.fade((span / BELIEF).min(1.0)));
         self.find_lost();
         self.learn_usual();
-        self.near_turns(span);
+        self.advance_slow_start(span);
         let now = self.now;
         let ready = |b: &Backend| b.listed && b.row.state == BackendState::Ready;
         let barred = &self.barred;
         for (id, b) in self.backends.iter_mut().filter(|(id, b)| ready(b) && !barred.contains_key(id)) {
             match b.health {
-                Health::Aside { until, wait, dead } if now >= until => {
+                Health::Ejected { until, wait, dead } if now >= until => {
                     b.health = Health::Trial { wait, dead }
                 }
                 _ => continue,
@@ -897,7 +897,7 @@
             let (queue, plans) = (&mut self.sync_queue, &self.cfg.plans);
             self.customers.retain(|id, c| {
                 let kept = FORGET.max(4.0 * windows[c.plan]);
-                let idle = now.saturating_sub(c.seen) as f64 > kept && c.held.is_empty() && c.out == 0;
+                let idle = now.saturating_sub(c.seen) as f64 > kept && c.pending.is_empty() && c.out == 0;
                 let drop = idle && plans[c.plan].ceiling.is_none();
                 c.sync_at.filter(|_| drop).map(|t| queue.remove(&(t, *id)));
                 !drop
@@ -1053,10 +1053,10 @@
                 self.mix_lat += (elapsed.min(most) - self.mix_lat).max(0.0) * GAIN;
                 b.slow_at = now;
                 if b.fails >= SICK_RUN {
-                    self.set_aside(bid, false);
+                    self.eject(bid, false);
                 }
             }
-            Outcome::Error if b.errors > SICK_ERRORS => self.set_aside(bid, false),
+            Outcome::Error if b.errors > SICK_ERRORS => self.eject(bid, false),
             // Danger: one answer that is spoilt or one connection that breaks, as any backend's may, is no
             // death; a well one would return as a cold one. A process that has ended breaks the next, too.
             Outcome::ConnectFailed | Outcome::Reset => {
@@ -1065,10 +1065,10 @@
                 // whole fleet was starved by the budget for cold ones. Only who does not answer a probe
                 // either has ended. It hurts where one ends and starts again within `ASKED`.
                 if b.fails >= DEAD_RUN && !self.cfg.may_probe {
-                    self.set_aside(bid, true);
+                    self.eject(bid, true);
                 } else if b.fails >= DEAD_RUN && b.health == Health::Well {
                     let until = now + ASKED as Micros;
-                    (b.health, b.fails) = (Health::Aside { until, wait: ASIDE / 2.0, dead: false }, 0);
+                    (b.health, b.fails) = (Health::Ejected { until, wait: EJECTION / 2.0, dead: false }, 0);
                 }
             }
             // Danger: a `full` may concern one class or plan though there is room: kept for each apart.
@@ -1107,7 +1107,7 @@
     fn close(&mut self, id: RequestId) {
         if let Some(r) = self.requests.get_mut(&id) {
             r.over = true;
-            self.drop_held(id);
+            self.drop_pending(id);
             self.finish(id);
         }
     }
@@ -1209,11 +1209,11 @@
 
     /// Rule 4: this gateway's share of the fall budget of a cold backend bounds its sends.
     /// Full capacity is not told; what each warm backend serves from here is at most that.
-    fn cold_allows(&self, b: &Backend, usable: f64) -> bool {
+    fn slow_start_allows(&self, b: &Backend, usable: f64) -> bool {
         if self.warmth(b) >= 1.0 {
             return true;
         }
-        let budget = self.cold_budget(b, usable);
+        let budget = self.slow_start_budget(b, usable);
         // Below one a span, gateways take turns: each when its own is due.
         if budget < 1.0 {
             return b.turn >= 1.0 && b.out == 0;
@@ -1222,20 +1222,20 @@
         self.lately(&b.sent).max(b.out as f64) < budget
     }
 
-    /// What this gateway may send within a fall span to a cold backend of its lot; others are not its own.
-    fn cold_budget(&self, b: &Backend, usable: f64) -> f64 {
+    /// What this gateway may send within a fall span to a cold backend of its subset; others are not.
+    fn slow_start_budget(&self, b: &Backend, usable: f64) -> f64 {
         let (span, keep) = (self.cfg.fall_after as f64, (SUBSET / usable).min(1.0));
         let usual = self.usual.max(self.done_rate / usable * span / SECOND);
-        let in_lot = f64::from(u8::from(self.lot(b.row.key()) < keep));
-        COLD_PART * self.cfg.fall_multiple * self.warmth(b) * usual * in_lot / keep
+        let in_subset = f64::from(u8::from(self.lot(b.row.key()) < keep));
+        SLOW_START_PART * self.cfg.fall_multiple * self.warmth(b) * usual * in_subset / keep
     }
 
     /// Lets turns at cold backends come nearer. Danger: a lot drawn anew for each span went to gateways that
     /// had no request then or chose another backend: cold ones stayed idle while the warm ones were jammed.
-    fn near_turns(&mut self, passed: f64) {
+    fn advance_slow_start(&mut self, passed: f64) {
         let usable = self.usable_count();
         let cold = |b: &Backend| self.usable(b) && self.warmth(b) < 1.0;
-        let now = |b| (cold(b), self.cold_budget(b, usable), self.place(&b.row));
+        let now = |b| (cold(b), self.slow_start_budget(b, usable), self.place(&b.row));
         let all: Vec<_> = self.backends.values().map(now).collect();
         for (b, (cold, budget, place)) in self.backends.values_mut().zip(all) {
             // Danger: turns that came near while it was warm, or out of use, were due at all gateways in the
--- a/src/state.rs
+++ b/src/state.rs
@@ -30,7 +30,7 @@
 
 /// A request held for a fresh total.
 #[derive(Clone, Debug, PartialEq)]
-pub(crate) struct Held {
+pub(crate) struct PendingRead {
     pub(crate) id: RequestId,
     pub(crate) units: f64,
     /// What is counted for it: more than its units where it stands for others not counted.
@@ -61,7 +61,7 @@
     #[serde(skip)]
     pub(crate) sync_at: Option<Micros>,
     #[serde(skip)]
-    pub(crate) held: Vec<Held>,
+    pub(crate) pending: Vec<PendingRead>,
     /// How often fresh totals found it over its quota, lately, and when last; 0: never judged.
     pub(crate) over: f64,
     pub(crate) judged_at: Micros,
@@ -80,8 +80,8 @@
 pub(crate) enum Health {
     #[default]
     Well,
-    /// Set aside until then; the wait to follow if the trial fails.
-    Aside { until: Micros, wait: f64, dead: bool },
+    /// Ejected as an outlier until then; the wait to follow if the trial fails.
+    Ejected { until: Micros, wait: f64, dead: bool },
     /// A probe or a single trial attempt is out.
     Trial { wait: f64, dead: bool },
 }
@@ -108,7 +108,7 @@
     pub(crate) errors: f64,
     /// When its last answer came, or when it was first listed.
     pub(crate) seen_at: Micros,
-    /// How long it was last set aside; halved by each request served since.
+    /// How long it was last ejected; halved by each request served since.
     pub(crate) spared: f64,
     /// Part of the attempts, of late, whose connection broke, and when one last did.
     pub(crate) breaks: f64,
@@ -124,7 +124,7 @@
     pub(crate) turn: f64,
 }
 
-/// Errors after which one more sets a backend aside; below the part for that, `SICK_ERRORS`.
+/// Errors after which one more ejects a backend; below the part for that, `SICK_ERRORS`.
 pub(crate) const ONE_MORE: f64 = 0.36;
 
 pub(crate) struct Attempt {
@@ -225,8 +225,8 @@
     /// Backends listed, and of these the ones that are not in use for their health.
     pub listed: usize,
     /// See `listed`.
-    pub aside: usize,
-    /// Backends listed that get nothing new: out by hand, draining, or aside for their health.
+    pub ejected: usize,
+    /// Backends listed that get nothing new: out by hand, draining, or ejected for their health.
     pub skipped: usize,
     /// What is held: customers, names of counts, requests, timers, and backends listed or not.
     pub customers: usize,
@@ -321,7 +321,7 @@
 pub(crate) enum Verdict {
     /// Goes on; whether it is to be counted, and the odds that it is over its quota.
     Pass(bool, f64),
-    /// Held for a fresh total, with what is counted for it.
+    /// PendingRead for a fresh total, with what is counted for it.
     Hold(f64),
     /// Refused for this reason, with how long to stay away.
     Over(Reason, Micros),
@@ -432,7 +432,7 @@
     /// Takes a backend on trial back into use, cold if its process had ended.
     pub(crate) fn readmit(&mut self, now: Micros) {
         if let Health::Trial { dead, .. } = self.health {
-            // One that was set aside for its errors is again at the next one.
+            // One that was ejected for its errors is again at the next one.
             (self.health, self.errors, self.slow) = (Health::Well, self.errors.min(ONE_MORE), 1.0);
             self.guessed = if dead { Some(now) } else { self.guessed };
         }
@@ -482,7 +482,7 @@
             out: self.out,
             lost: self.lost,
             listed: listed.clone().count(),
-            aside: listed.clone().filter(|b| b.health != Health::Well).count(),
+            ejected: listed.clone().filter(|b| b.health != Health::Well).count(),
             skipped: listed.filter(|b| !self.usable(b)).count(),
             customers: self.customers.len(),
             names: self.names.len(),
@@ -497,7 +497,7 @@
     /// What the next process of this gateway is to know.
     pub fn legacy(&self) -> Legacy {
         let heir = |c: &Customer| {
-            let mut c = Customer { held: Vec::new(), sync_at: None, out: 0, ..c.clone() };
+            let mut c = Customer { pending: Vec::new(), sync_at: None, out: 0, ..c.clone() };
             for t in [&mut c.cur, &mut c.prev] {
                 // What is not on the counter yet is known here as spent, and told there by this process.
                 let own = std::mem::take(&mut t.unsent)
@@ -600,11 +600,11 @@
     }
 
     /// Lets go of a request held for a total, with what was to be counted for it.
-    pub(crate) fn drop_held(&mut self, id: RequestId) {
+    pub(crate) fn drop_pending(&mut self, id: RequestId) {
         let Some(cid) = self.requests.get(&id).map(|r| r.customer) else { return };
         let Some(c) = self.customers.get_mut(&cid) else { return };
-        let at = c.held.iter().position(|h| h.id == id);
-        c.cur.unsent -= at.map_or(0.0, |at| c.held.remove(at).counted);
+        let at = c.pending.iter().position(|h| h.id == id);
+        c.cur.unsent -= at.map_or(0.0, |at| c.pending.remove(at).counted);
     }
 
     /// Brings a customer's next sync forward to `after` from now; an earlier one stays.
--- a/tests/backends.rs
+++ b/tests/backends.rs
@@ -56,13 +56,13 @@
 }
 
 #[test]
-fn a_backend_that_refuses_connections_is_set_aside_and_probed_back() {
+fn a_backend_that_refuses_connections_is_ejected_and_probed_back() {
     let mut rig = Rig::new(config(), 2);
     let on = sent(&rig.ask(1, 5))[0].1;
     assert_ne!(sent(&rig.end(1, 0, on, Outcome::ConnectFailed, 5))[0].1, on);
     fail_once(&mut rig, on, Outcome::ConnectFailed, 1_000);
-    let aside = counts(&mut rig, 10, 30);
-    assert_eq!(aside[on.address[3] as usize], 0, "not sent to while aside");
+    let ejected = counts(&mut rig, 10, 30);
+    assert_eq!(ejected[on.address[3] as usize], 0, "not sent to while ejected");
     let probes = rig.run(2 * SEC);
     assert!(probes.contains(&Action::Probe { backend: on }));
     rig.feed(Event::Probed { backend: on, outcome: Outcome::Ok, elapsed: MS, load: LoadReport::default() });
@@ -71,7 +71,7 @@
 }
 
 #[test]
-fn a_run_of_timeouts_sets_a_backend_aside() {
+fn a_run_of_timeouts_ejects_a_backend() {
     let mut rig = Rig::new(Config { second_copies: false, max_attempts: 1, ..config() }, 2);
     let mut failed = 0;
     for id in 0..40 {
@@ -85,7 +85,7 @@
 }
 
 #[test]
-fn a_backend_that_fails_fast_is_set_aside() {
+fn a_backend_that_fails_fast_is_ejected() {
     let mut rig = Rig::new(Config { max_attempts: 1, ..config() }, 2);
     let mut failed = 0;
     for id in 0..100 {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -268,7 +268,7 @@
 fn a_backend_that_answers_with_errors_does_not_come_back_cold() {
     let mut rig = Rig::new(config(), 2);
     let mut n = 0;
-    while rig.gateway.vitals().aside == 0 {
+    while rig.gateway.vitals().ejected == 0 {
         n += 1;
         for (id, on) in sent(&rig.ask(n, 1000 + u64::from(n))) {
             let outcome = if on == backend(0) { Outcome::Error } else { Outcome::Ok };
@@ -370,12 +370,12 @@
 
 /// Guards against a run of failures each time a backend that answers with errors is tried again.
 #[test]
-fn a_backend_back_from_errors_is_set_aside_at_the_next_one() {
+fn a_backend_back_from_errors_is_ejected_at_the_next_one() {
     let mut rig = Rig::new(config(), 2);
     let mut n = 0;
     let mut errors = |rig: &mut Rig| {
         let mut seen = 0;
-        while rig.gateway.vitals().aside == 0 {
+        while rig.gateway.vitals().ejected == 0 {
             n += 1;
             for (id, on) in sent(&rig.ask(n, 1000 + u64::from(n))) {
                 let bad = on == backend(0);
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -132,7 +132,7 @@
 }
 
 #[test]
-fn a_gateway_keeps_to_its_own_lot_of_backends_and_leaves_it_when_it_must() {
+fn a_gateway_keeps_to_its_own_subset_of_backends_and_leaves_it_when_it_must() {
     // Danger: hundreds of gateways connected to every backend fill its connections.
     let used = |me: u32| {
         let mut rig = rig(300, me, 100);
@@ -148,12 +148,12 @@
     };
     let (one, other) = (used(3), used(4));
     assert!(one.len() < 40 && other.len() < 40, "{} and {}", one.len(), other.len());
-    assert_ne!(one, other, "lots differ, so that all backends are used");
+    assert_ne!(one, other, "subsets differ, so that all backends are used");
     let mut rig = rig(300, 3, 100);
     let rows = one.iter().map(|b| BackendRow::new(*b, BackendState::Gone)).collect();
     rig.feed(Event::Backends { kind: ListKind::Delta, version: 2, rows });
     let next = (0..20).flat_map(|id| sent(&rig.ask(id, 2_000 + u64::from(id)))).next();
-    assert!(next.is_some_and(|(_, on)| !one.contains(&on)), "widened when its lot is gone");
+    assert!(next.is_some_and(|(_, on)| !one.contains(&on)), "widened when its subset is gone");
 }
 
 #[test]
@@ -326,7 +326,7 @@
 #[test]
 fn a_backend_of_errors_costs_each_of_many_gateways_few_requests() {
     // Danger: at four requests a second over sixteen backends, five errors took half a minute to come, and a
-    // backend set aside for half a second was back before its next request was due.
+    // backend ejected for half a second was back before its next request was due.
     let (mut errors, mut met) = (0, 0);
     for me in 0..20 {
         let mut rig = Rig::new(many(100, me, Plan::rated("open", 0.0, 0.0)), 60);
