--- a/node/src/admission.rs
+++ b/node/src/admission.rs
@@ -1,8 +1,7 @@
 //! What is let in of what clients send: the checks of a head, and the bytes that bodies may hold in all.
 
-use crate::driver::Terms;
 use crate::flow::MOST_BODY;
-use caperwind::{ClassIx, Config, CustomerId, Effect, PlanIx};
+use caperwind::{ClassIx, Config, CustomerId, Effect, Micros, PlanIx};
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, StatusCode};
@@ -73,6 +72,20 @@
     }
 }
 
+/// What the server knows of a request beside its message.
+pub struct Terms {
+    /// What the client calls it.
+    pub id: Rc<str>,
+    pub class: ClassIx,
+    pub plan: PlanIx,
+    pub customer: CustomerId,
+    pub units: f64,
+    pub spread: f64,
+    pub first_gateway: f64,
+    pub client_repeat: bool,
+    pub wait: Micros,
+}
+
 /// Checks a head against the protocol, and tells how long the body is (in chunks, nobody knows): nothing malformed reaches the module.
 pub fn admit(head: &Parts, module: &Config) -> Result<(Terms, Option<u64>), Fault> {
     let headers = &head.headers;
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -1,7 +1,7 @@
 //! Owns the decision module and the table of open requests: events in, actions out, timers between.
 //! It decides nothing.
 
-use crate::admission::Fault;
+use crate::admission::{Fault, Terms};
 use crate::backend::{ClientClosed, Finish, Message, Payload, Pool};
 use crate::clock::Clock;
 use crate::counter::{Counter, Results};
@@ -170,20 +170,6 @@
     done: bool,
 }
 
-/// What the server knows of a request beside its message.
-pub struct Terms {
-    /// What the client calls it.
-    pub id: Rc<str>,
-    pub class: caperwind::ClassIx,
-    pub plan: caperwind::PlanIx,
-    pub customer: caperwind::CustomerId,
-    pub units: f64,
-    pub spread: f64,
-    pub first_gateway: f64,
-    pub client_repeat: bool,
-    pub wait: Micros,
-}
-
 impl Shared {
     pub fn new(module: Config, seed: u64, pool: Rc<Pool>, counter: Rc<Counter>) -> Result<Self, String> {
         let clock = Clock::start();
