--- a/node/src/counter.rs
+++ b/node/src/counter.rs
@@ -1,7 +1,6 @@
 //! The counter client: one call out per connection, so that a late answer is never another call's.
 
 use crate::clock::Clock;
-use crate::driver::Shared;
 use crate::metered::{self, Broken, Link};
 use bytes::Bytes;
 use caperwind::{CountName, Counter as Limits, Micros, Reckoned};
@@ -10,22 +9,35 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
 /// The counter closes what has stood idle for about 10 s or less.
 const IDLE: Duration = Duration::from_secs(3);
+/// A connection is not used again sooner after its last answer. Danger: an answer names no call, and a second one to
+/// the last call, which comes some milliseconds after it, would be taken for the next one's.
+const SETTLE: Duration = Duration::from_millis(10);
 /// How long a connection is kept for an answer that is late already. Danger: until then the call counts as one
 /// that the counter has: a connection that has gone silent holds its place that long.
 const LINGER: Duration = Duration::from_secs(1);
 const MOST_BYTES: usize = 1024;
 
+/// Who is told what became of calls.
+pub trait Results {
+    /// A call's one result.
+    fn counted(&self, name: CountName, result: Reckoned, elapsed: Micros);
+    /// What became of a call that was told as overdue.
+    fn counted_late(&self, name: CountName, amount: f64, result: Reckoned);
+}
+
 /// Connections to the counter.
 pub struct Counter {
     address: Cell<Option<SocketAddr>>,
+    /// How often the address has changed.
+    moves: Cell<u64>,
     limit: Duration,
     most: Cell<usize>,
     open: Cell<usize>,
-    /// To the present address only.
+    /// Made since the last move only.
     idle: RefCell<Vec<(Link, Instant)>>,
 }
 
@@ -53,7 +65,7 @@
         let limit = Duration::from_micros(limits.map_or(80_000, |l| l.timeout));
         let (address, most) = (Cell::new(address), Cell::new(most));
         let (open, idle) = (Cell::new(0), RefCell::default());
-        Rc::new(Counter { address, limit, most, open, idle })
+        Rc::new(Counter { address, moves: Cell::new(0), limit, most, open, idle })
     }
 
     /// From now on holds so many connections at most, once the calls that are out have ended.
@@ -62,24 +74,29 @@
         self.idle.borrow_mut().truncate(most.saturating_sub(self.open.get()));
     }
 
-    /// Later calls go to this address. Calls that are out end where they are: none goes out again.
+    /// Later calls go to this address. Calls that are out end where they are: none goes out again. Danger: an address
+    /// that was left closes its connections soon: none of before is used again, also after a move back.
     pub fn move_to(&self, address: SocketAddr) {
         if self.address.replace(Some(address)) != Some(address) {
+            self.moves.set(self.moves.get() + 1);
             self.idle.borrow_mut().clear();
         }
     }
 
-    /// Starts a call; its one result goes to the driver.
-    pub fn call(self: &Rc<Self>, driver: Shared, clock: Clock, name: CountName, amount: f64, keep: Micros) {
+    /// Starts a call.
+    pub fn call<R>(self: &Rc<Self>, results: R, clock: Clock, name: CountName, amount: f64, keep: Micros)
+    where
+        R: Results + 'static,
+    {
         let (counter, began) = (self.clone(), clock.now());
         tokio::task::spawn_local(async move {
             let until = Instant::now() + counter.limit;
             let path = format!("/v2/numbers/{:016x}?delta={amount}&life_ms={}", name.0, (keep / 1000).max(1));
-            let tell = |result| driver.counted(name, result, clock.now().saturating_sub(began));
-            let address = counter.address.get();
-            let Some((seat, link)) = counter.link(address, until).await else {
+            let tell = |result| results.counted(name, result, clock.now().saturating_sub(began));
+            let Some((seat, link)) = counter.link(until).await else {
                 return tell(Reckoned::NotAdded);
             };
+            let moves = counter.moves.get();
             let call = ask(link, &path);
             tokio::pin!(call);
             // Danger: an answer that comes after the call was given up must not be taken for the next
@@ -93,28 +110,49 @@
                 Err(_) => {
                     tell(Reckoned::Overdue);
                     let (end, link) = timeout(LINGER, call).await.unwrap_or((Reckoned::Unanswered, None));
-                    driver.counted_late(name, amount, end);
+                    results.counted_late(name, amount, end);
                     link
                 }
             };
             drop(seat);
             let room = counter.open.get() + counter.idle.borrow().len() < counter.most.get();
-            let again = link.filter(|link| room && link.usable() && counter.address.get() == address);
+            let again = link.filter(|link| room && link.usable() && counter.moves.get() == moves);
             counter.idle.borrow_mut().extend(again.map(|link| (link, Instant::now())));
         });
     }
 
-    /// The most recently used idle connection, or a new one.
-    async fn link(self: &Rc<Self>, address: Option<SocketAddr>, until: Instant) -> Option<(Seat, Link)> {
-        loop {
-            let Some((link, since)) = self.idle.borrow_mut().pop() else { break };
+    /// The most recently used idle connection that has settled.
+    fn reuse(&self) -> Option<Link> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(at) = idle.iter().rposition(|(_, since)| since.elapsed() >= SETTLE) {
+            let (link, since) = idle.remove(at);
             if link.usable() && since.elapsed() < IDLE {
+                return Some(link);
+            }
+        }
+        None
+    }
+
+    /// A connection that may be used again, or a new one.
+    async fn link(self: &Rc<Self>, until: Instant) -> Option<(Seat, Link)> {
+        loop {
+            if let Some(link) = self.reuse() {
                 return Some((Seat::take(self)?, link));
             }
+            if let Some(seat) = Seat::take(self) {
+                let (moves, address) = (self.moves.get(), self.address.get()?);
+                let made = timeout_at(until, Link::connect(address)).await.ok()?;
+                // Danger: one that comes up after a move leads to where nothing new is to go.
+                if moves != self.moves.get() {
+                    continue;
+                }
+                return Some((seat, made.ok()?));
+            }
+            // Danger: one closed to make room for another is seen by the counter some time later: there would be more
+            // than it holds. Where those that have not settled take up all places, the first of them is waited for.
+            let settled = self.idle.borrow().first().map(|(_, since)| *since + SETTLE)?;
+            timeout_at(until, sleep_until(settled)).await.ok()?;
         }
-        let seat = Seat::take(self)?;
-        let made = timeout_at(until, Link::connect(address?)).await.ok()?.ok()?;
-        Some((seat, made))
     }
 
     /// Drops idle connections before the counter closes them.
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -84,6 +84,10 @@
     Silence,
     /// Answers, ends its sending, and tells when the other side has ended the connection.
     AnswerAndClose(String),
+    /// Writes each piece so many milliseconds after the one before, then goes on.
+    Pieces(Vec<(u64, String)>),
+    /// The same, and resets the connection.
+    PiecesAndReset(Vec<(u64, String)>),
 }
 
 pub fn answer(status: &str, headers: &str, body: &str) -> String {
@@ -109,6 +113,8 @@
     /// Connections that the other side has ended.
     pub ended: Receiver<usize>,
     pub connections: Arc<AtomicUsize>,
+    /// Connections open at once: now, and the most there were.
+    pub open: Arc<(AtomicUsize, AtomicUsize)>,
 }
 
 impl Fake {
@@ -120,17 +126,22 @@
         let address = listener.local_addr().expect("an address");
         let ((tell, seen), (tell_end, ended)) = (channel(), channel());
         let (react, connections) = (Arc::new(react), Arc::new(AtomicUsize::new(0)));
-        let count = connections.clone();
+        let (count, open) = (connections.clone(), Arc::<(AtomicUsize, AtomicUsize)>::default());
+        let held = open.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming() {
                 let conn = count.fetch_add(1, Ordering::SeqCst);
                 let (react, tell, tell_end) = (react.clone(), tell.clone(), tell_end.clone());
+                let held = held.clone();
+                held.1.fetch_max(held.0.fetch_add(1, Ordering::SeqCst) + 1, Ordering::SeqCst);
                 std::thread::spawn(move || {
-                    serve(stream.expect("a connection"), conn, &*react, &tell, &tell_end)
+                    let left = serve(stream.expect("a connection"), conn, &*react, &tell);
+                    held.0.fetch_sub(1, Ordering::SeqCst);
+                    let _ = left.then(|| tell_end.send(conn));
                 });
             }
         });
-        Fake { address, seen, ended, connections }
+        Fake { address, seen, ended, connections, open }
     }
 
     pub fn next(&self) -> Seen {
@@ -168,28 +179,36 @@
     }
 }
 
-fn serve(
-    stream: TcpStream,
-    conn: usize,
-    react: &dyn Fn(&Seen) -> Reaction,
-    tell: &Sender<Seen>,
-    ended: &Sender<usize>,
-) {
+/// Serves a connection; returns whether it was the other side that ended it.
+fn serve(stream: TcpStream, conn: usize, react: &dyn Fn(&Seen) -> Reaction, tell: &Sender<Seen>) -> bool {
     let mut out = stream.try_clone().expect("a second handle");
+    out.set_nodelay(true).expect("an option");
     let mut from = BufReader::new(stream);
+    let write = |mut out: &TcpStream, pieces: Vec<(u64, String)>| {
+        for (after, text) in pieces {
+            std::thread::sleep(Duration::from_millis(after));
+            let _ = out.write_all(text.as_bytes());
+        }
+    };
     while let Some(seen) = read_message(&mut from, conn) {
         let _ = tell.send(seen.clone());
         match react(&seen) {
             Reaction::Answer(text) => drop(out.write_all(text.as_bytes())),
-            Reaction::Break => return,
+            Reaction::Break => return false,
             Reaction::Silence => continue,
             Reaction::AnswerAndClose(text) => {
                 let _ = out.write_all(text.as_bytes());
                 let _ = out.shutdown(std::net::Shutdown::Write);
             }
+            Reaction::Pieces(pieces) => write(&out, pieces),
+            Reaction::PiecesAndReset(pieces) => {
+                write(&out, pieces);
+                SockRef::from(&out).set_linger(Some(Duration::ZERO)).expect("an option");
+                return false;
+            }
         }
     }
-    let _ = ended.send(conn);
+    true
 }
 
 /// Discovery: a list that tests change, and watches that wait for that.
@@ -276,17 +295,39 @@
     }
 }
 
-/// A counter that keeps numbers and answers as it should.
-pub fn counter() -> Fake {
-    let numbers: Mutex<HashMap<String, f64>> = Mutex::default();
-    Fake::start(move |seen| {
-        let (name, query) = seen.path().split_once('?').expect("a query");
+/// What a counter keeps, under whatever addresses.
+#[derive(Clone, Default)]
+pub struct Numbers(Arc<Mutex<HashMap<String, f64>>>);
+
+impl Numbers {
+    /// Carries out a call; returns the total.
+    pub fn add(&self, call: &Seen) -> String {
+        let (name, query) = call.path().split_once('?').expect("a query");
         let delta = query.split('&').find_map(|p| p.strip_prefix("delta=")).expect("an amount");
-        let mut numbers = numbers.lock().expect("unpoisoned");
+        let mut numbers = self.0.lock().expect("unpoisoned");
         let total = numbers.entry(name.to_owned()).or_default();
         *total += delta.parse::<f64>().expect("a number");
-        ok(&total.to_string())
-    })
+        total.to_string()
+    }
+
+    /// Waits until all numbers together come to so much.
+    pub fn come_to(&self, sum: f64) {
+        let until = Instant::now() + LONG;
+        while self.sum() != sum {
+            assert!(Instant::now() < until, "{} of {sum} units", self.sum());
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    pub fn sum(&self) -> f64 {
+        self.0.lock().expect("unpoisoned").values().sum()
+    }
+}
+
+/// A counter that keeps numbers and answers as it should.
+pub fn counter() -> Fake {
+    let numbers = Numbers::default();
+    Fake::start(move |seen| ok(&numbers.add(seen)))
 }
 
 /// Settings as the first message gives them; the plan `llano` has the rate and burst given.
@@ -341,6 +382,8 @@
     pub known: Option<String>,
     pub memory_mb: u32,
     pub sockets: u32,
+    /// The process's own limit on descriptors, where it is not the one of the tests.
+    pub descriptors: Option<u32>,
     /// Gateways whose addresses the configuration gives.
     pub peers: u32,
     /// The platform's part, where it holds the clients' socket.
@@ -358,6 +401,7 @@
             known: None,
             memory_mb: 192,
             sockets: 256,
+            descriptors: None,
             peers: 0,
             platform: None,
             changes: &[],
@@ -406,7 +450,12 @@
         );
         std::fs::write(&config, with_peers(&text, discovery, counter))
             .expect("a place for the configuration");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_badgerglade"));
+        let program = env!("CARGO_BIN_EXE_badgerglade");
+        let mut command = Command::new(program);
+        if let Some(limit) = start.descriptors {
+            command = Command::new("sh");
+            command.args(["-c", "ulimit -n \"$1\" && exec \"$0\"", program, &limit.to_string()]);
+        }
         command.env_remove("TMPDIR");
         if let Some(platform) = &start.platform {
             // Without unsafe code, the one descriptor that a test can hand down is the standard input.
@@ -448,6 +497,14 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.pid())).expect("a list").count()
     }
 
+    /// Slots that the kernel has set up for its descriptors: a power of two that only grows. As the lowest free
+    /// slot is taken each time, the process has never held more descriptors at once than this, not for a moment.
+    pub fn descriptor_slots(&self) -> usize {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.pid())).expect("a status");
+        let line = text.lines().find_map(|l| l.strip_prefix("FDSize:")).expect("a figure");
+        line.trim().parse().expect("a number")
+    }
+
     /// What it has written to its log so far.
     pub fn log(&self) -> String {
         std::fs::read_to_string(self.config.with_extension("log")).expect("a log")
@@ -567,7 +624,7 @@
 }
 
 impl Client {
-    fn over(stream: TcpStream) -> Self {
+    pub fn over(stream: TcpStream) -> Self {
         stream.set_read_timeout(Some(LONG)).expect("a time-out");
         Client { from: BufReader::new(stream) }
     }
@@ -576,6 +633,11 @@
         self.from.get_mut().write_all(text.as_bytes()).expect("the gateway reads");
     }
 
+    /// Sends as much as is taken: the other side may have answered and closed.
+    pub fn push(&mut self, text: &str) {
+        let _ = self.from.get_mut().write_all(text.as_bytes());
+    }
+
     pub fn leave(mut self, how: Leave) {
         if let Leave::CloseBehind(n) | Leave::ResetBehind(n) = how {
             self.send(&"x".repeat(n));
