--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -9,7 +9,7 @@
 use std::process::{Child, Command, ExitStatus};
 use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 /// Long enough for any busy machine; only a failing test waits for all of it.
@@ -109,6 +109,20 @@
     format!("127.{a}.{b}.{c}")
 }
 
+/// One test of a file at a time. Danger: a child's table of descriptors begins as large as this process's, and tells
+/// nothing of the child where that is larger than the limit.
+pub fn alone() -> MutexGuard<'static, ()> {
+    static ONE: Mutex<()> = Mutex::new(());
+    ONE.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A connection that is read until `LONG`.
+pub fn connect(to: SocketAddr) -> BufReader<TcpStream> {
+    let stream = TcpStream::connect(to).expect("a connection");
+    stream.set_read_timeout(Some(LONG)).expect("a time-out");
+    BufReader::new(stream)
+}
+
 /// A listener whose connections are served by a function, a thread each.
 pub struct Fake {
     pub address: SocketAddr,
--- a/node/tests/descriptor_peak.rs
+++ b/node/tests/descriptor_peak.rs
@@ -5,9 +5,7 @@
 mod common;
 
 use common::*;
-use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::io::Write;
 use std::time::{Duration, Instant};
 
 /// The smallest limit that the terms promise, and the places for clients that come of it.
@@ -16,17 +14,6 @@
 /// As many as a listener's line takes at least.
 const CALLERS: usize = 120;
 
-fn alone() -> MutexGuard<'static, ()> {
-    static ONE: Mutex<()> = Mutex::new(());
-    ONE.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-fn connect(to: SocketAddr) -> BufReader<TcpStream> {
-    let stream = TcpStream::connect(to).expect("a connection");
-    stream.set_read_timeout(Some(LONG)).expect("a time-out");
-    BufReader::new(stream)
-}
-
 /// Guards against more descriptors than the limit while operators' callers come all at once: each that is too
 /// many makes way before the next one is let in, and one that says what it wants is heard among them.
 #[test]
--- a/node/tests/descriptor_peak_backends.rs
+++ b/node/tests/descriptor_peak_backends.rs
@@ -4,8 +4,7 @@
 mod common;
 
 use common::*;
-use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io::Write;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
@@ -16,12 +15,6 @@
 /// Requests that are let in at once at least, of as many as there are places.
 const MANY: usize = 80;
 
-fn connect(to: SocketAddr) -> BufReader<TcpStream> {
-    let stream = TcpStream::connect(to).expect("a connection");
-    stream.set_read_timeout(Some(LONG)).expect("a time-out");
-    BufReader::new(stream)
-}
-
 /// Guards against more descriptors than the limit where there are many backends: connections to them make way for new
 /// ones, all at once, while clients fill their places and bodies are on their way.
 #[test]
--- a/node/tests/descriptors.rs
+++ b/node/tests/descriptors.rs
@@ -7,7 +7,7 @@
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -18,19 +18,6 @@
 const GRACE: Duration = Duration::from_millis(550);
 const HALF_HEAD: &str = "GET /consulta/0000000000000007 HTTP/1.1\r\nhost: backend.lo";
 
-/// One test at a time. Danger: a child's table of descriptors begins as large as this process's, and tells nothing
-/// of the child where that is larger than the limit.
-fn alone() -> MutexGuard<'static, ()> {
-    static ONE: Mutex<()> = Mutex::new(());
-    ONE.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-fn connect(to: SocketAddr) -> BufReader<TcpStream> {
-    let stream = TcpStream::connect(to).expect("a connection");
-    stream.set_read_timeout(Some(LONG)).expect("a time-out");
-    BufReader::new(stream)
-}
-
 /// The status that comes back; `None` where the connection ends first.
 fn ask(on: &mut BufReader<TcpStream>, text: &str) -> Option<u16> {
     on.get_mut().write_all(text.as_bytes()).ok()?;
