--- a/node/src/backend.rs
+++ b/node/src/backend.rs
@@ -3,7 +3,7 @@
 use crate::admission::{Budget, Held};
 use crate::config::Setup;
 use crate::flow::{gather, Answered, Flow, Gathered, Outbound, Source, Upload, MOST_BODY, SMALL};
-use crate::metered::{self, Broken, Link, Meter};
+use crate::metered::{self, Broken, Link, Meter, SETTLE};
 use bytes::Bytes;
 use caperwind::{BackendId, LoadField, LoadReport, Outcome};
 use http_body_util::{BodyExt, Either, Full};
@@ -26,9 +26,6 @@
 /// go after a tenth of a second; a break after less idleness than this has another reason.
 const LEAST_IDLE: Duration = Duration::from_millis(20);
 const REGAIN: f64 = 1.1;
-/// A connection is not used again sooner after its last answer. Danger: an answer names no request, and a second
-/// one to the last request, which was seen to come up to 4 ms after it, would be taken for the next one's.
-const SETTLE: Duration = Duration::from_millis(10);
 /// A figure above this in a load report can't be read for what it is.
 const MOST_LOAD: f32 = 1e6;
 /// This process, and this machine, is out of descriptors.
--- a/node/src/counter.rs
+++ b/node/src/counter.rs
@@ -1,7 +1,7 @@
 //! The counter client: one call out per connection, so that a late answer is never another call's.
 
 use crate::clock::Clock;
-use crate::metered::{self, Broken, Link};
+use crate::metered::{self, Broken, Link, SETTLE};
 use bytes::Bytes;
 use caperwind::{CountName, Counter as Limits, Micros, Reckoned};
 use http_body_util::{BodyExt, Either, Full, Limited};
@@ -13,9 +13,6 @@
 
 /// The counter closes what has stood idle for about 10 s or less.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
-/// A connection is not used again sooner after its last answer. Danger: an answer names no call, and a second one to
-/// the last call, which comes some milliseconds after it, would be taken for the next one's.
-const SETTLE: Duration = Duration::from_millis(10);
 /// How long a connection is kept for an answer that is late already. Danger: until then the call counts as one
 /// that the counter has: a connection that has gone silent holds its place that long.
 const LINGER: Duration = Duration::from_secs(1);
--- a/node/src/discovery/patience.rs
+++ b/node/src/discovery/patience.rs
@@ -52,7 +52,7 @@
     pub whole: Duration,
 }
 
-/// What calls Discovery is asked with where that is the way.
+/// Where discovery has to be asked.
 const ASKED: Patience = Patience {
     connect: Duration::from_millis(500),
     wait: Duration::from_millis(3_500),
--- a/node/src/metered.rs
+++ b/node/src/metered.rs
@@ -17,6 +17,7 @@
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{ready, Context, Poll, Waker};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -25,6 +26,9 @@
 pub const HEAD_BYTES: usize = 16 * 1024;
 /// Heads are seldom longer.
 const SHORT_HEAD: usize = 1024;
+/// A link is not used again sooner after its last answer. Danger: an answer names no request, and a second one to the
+/// last request, which was seen to come up to 4 ms after it, would be taken for the next one's.
+pub const SETTLE: Duration = Duration::from_millis(10);
 /// What has come behind a request in work is read ahead up to this, in steps, so that the client's end behind it
 /// is seen: a thousand pipelined requests. Beyond it, bytes are thrown away, and the connection ends with the
 /// answer; at a bound that is several times what sockets hold, it ends at once: a client that sends on and on.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -750,7 +750,7 @@
         // Danger: a client that gives up sooner than the aim makes waste of work sent on too late for it.
         let aim = ((self.cfg.classes[class].aim + least) / 2).min(r.deadline.saturating_sub(self.now));
         let within = aim as f64 * (PRESS.0 + (PRESS.1 - PRESS.0) * rank);
-        // PendingRead too long, servers do less: the queue is kept to a few times what idle ones take.
+        // Held too long, servers do less: the queue is kept to a few times what idle ones take.
         let idle = if self.mix_base > 0.0 { self.mix_base } else { SECOND };
         let within = within.min(idle * STRETCH * (0.5 + rank));
         // Room that is short goes to those likely inside their quota first.
@@ -1235,14 +1235,15 @@
     fn advance_slow_start(&mut self, passed: f64) {
         let usable = self.usable_count();
         let cold = |b: &Backend| self.usable(b) && self.warmth(b) < 1.0;
-        let now = |b| (cold(b), self.slow_start_budget(b, usable), self.place(&b.row));
-        let all: Vec<_> = self.backends.values().map(now).collect();
-        for (b, (cold, budget, place)) in self.backends.values_mut().zip(all) {
-            // Danger: turns that came near while it was warm, or out of use, were due at all gateways in the
-            // moment in which it came back cold.
-            let gain = budget * passed / self.cfg.fall_after as f64;
-            b.turn = if cold && budget < 1.0 { (b.turn + gain).min(1.0) } else { place };
-        }
+        // Danger: turns that came near while it was warm, or out of use, were due at all gateways in the
+        // moment in which it came back cold.
+        let turn = |b: &Backend| {
+            let budget = cold(b).then(|| self.slow_start_budget(b, usable)).filter(|all| *all < 1.0);
+            let near = budget.map(|all| (b.turn + all * passed / self.cfg.fall_after as f64).min(1.0));
+            near.unwrap_or_else(|| self.place(&b.row))
+        };
+        let turns: Vec<_> = self.backends.values().map(turn).collect();
+        self.backends.values_mut().zip(turns).for_each(|(b, turn)| b.turn = turn);
     }
 
     /// What warm backends serve tells what a full one can do. Danger: the mean over all, cold ones too, falls
--- a/src/state.rs
+++ b/src/state.rs
@@ -321,7 +321,7 @@
 pub(crate) enum Verdict {
     /// Goes on; whether it is to be counted, and the odds that it is over its quota.
     Pass(bool, f64),
-    /// PendingRead for a fresh total, with what is counted for it.
+    /// Held for a fresh total, with what is counted for it.
     Hold(f64),
     /// Refused for this reason, with how long to stay away.
     Over(Reason, Micros),
@@ -372,7 +372,9 @@
 /// Adds an instant and forgets those that are over a span old.
 pub(crate) fn note(times: &mut VecDeque<Micros>, now: Micros, span: Micros) {
     times.push_back(now);
-    times.retain(|&t| now.saturating_sub(t) <= span);
+    while times.front().is_some_and(|&t| now.saturating_sub(t) > span) {
+        times.pop_front();
+    }
 }
 
 /// Moves a running mean; one not begun takes the first sample.
