Name each way in which a body on its way can end, with a log line and a figure

Change: body/ takes the place of flow.rs, in modules of one job (budget, gather, upload, download, answer_limit, interruption); every answer or request body that ends before it is whole has a typed reason, a line in the log (at most ten a second) and a count in /metrics (answers_interrupted, uploads_interrupted). server.rs, backend.rs and metered.rs are split likewise, and the circle of flow, backend, metered and admission is gone: a download knows its connection by a trait that the pool implements. No time limit and no decision changes here.

Result: node/tests/interruptions.rs, nine ways to end.

--- a/node/src/admission.rs
+++ b/node/src/admission.rs
@@ -1,11 +1,10 @@
-//! What is let in of what clients send: the checks of a head, and the bytes that bodies may hold in all.
+//! What is let in of what clients send: the checks of a head.
 
-use crate::flow::MOST_BODY;
+use crate::body::MAX_BODY_BYTES;
 use caperwind::{ClassIx, Config, CustomerId, Effect, Micros, PlanIx};
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, StatusCode};
-use std::cell::Cell;
 use std::rc::Rc;
 
 /// Customers are numbers below this.
@@ -100,7 +99,7 @@
         (None, &Method::GET) => Some(0),
         (None, _) => return Err((StatusCode::LENGTH_REQUIRED, "Content-Length: missing\n")),
     };
-    if length.is_some_and(|n| n > MOST_BODY) {
+    if length.is_some_and(|n| n > MAX_BODY_BYTES) {
         return Err((StatusCode::PAYLOAD_TOO_LARGE, "body over 40 MiB\n"));
     }
     if length.is_some_and(|n| n > 0) && head.method == Method::GET {
@@ -152,35 +151,3 @@
     };
     Ok((terms, length))
 }
-
-/// Bytes that bodies may hold together; what is taken comes back by itself.
-#[derive(Clone)]
-pub struct Budget {
-    left: Rc<Cell<usize>>,
-    all: usize,
-}
-
-pub struct Held(Budget, usize);
-
-impl Budget {
-    pub fn new(bytes: usize) -> Self {
-        Budget { left: Rc::new(Cell::new(bytes)), all: bytes }
-    }
-
-    pub fn take(&self, bytes: usize) -> Option<Held> {
-        self.left.set(self.left.get().checked_sub(bytes)?);
-        Some(Held(self.clone(), bytes))
-    }
-
-    /// The same for what bodies go before: half is left to them.
-    pub fn take_spare(&self, bytes: usize) -> Option<Held> {
-        self.take(bytes).filter(|_| self.left.get() >= self.all / 2)
-    }
-}
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        let left = &self.0.left;
-        left.set(left.get() + self.1);
-    }
-}
--- /dev/null
+++ b/node/src/backend/message.rs
@@ -0,0 +1,93 @@
+//! Requests on their way to a backend.
+
+use crate::body::budget::Reservation;
+use crate::body::upload::{RequestBody, Upload, UploadSource};
+use crate::meter::Meter;
+use bytes::Bytes;
+use http_body_util::{Either, Full};
+use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::{Method, Request};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Fields that concern one connection only and go no further.
+const HOP_BY_HOP: [&str; 10] = [
+    "connection",
+    "expect",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Takes out of a message what concerns its own connection alone, and its framing.
+pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let named = headers.get(CONNECTION).and_then(|v| v.to_str().ok()).map(str::to_owned);
+    for name in named.iter().flat_map(|v| v.split(',')) {
+        headers.remove(name.trim());
+    }
+    HOP_BY_HOP.iter().for_each(|name| drop(headers.remove(*name)));
+    headers.remove(CONTENT_LENGTH);
+}
+
+/// What is passed on of a client's request.
+pub struct Message {
+    pub method: Method,
+    pub target: hyper::Uri,
+    pub headers: HeaderMap,
+    pub body: Payload,
+    /// The connection that it came on.
+    pub client: Rc<Meter>,
+}
+
+/// A client's body.
+pub enum Payload {
+    /// Held whole, with its part of what bodies may hold.
+    Whole { body: Bytes, _reservation: Reservation },
+    /// Still on its way; it can be sent once.
+    Coming(Rc<UploadSource>),
+}
+
+impl Payload {
+    /// Bytes that it takes on the wire; `None` until that is known.
+    pub(super) fn framed(&self) -> Option<u64> {
+        match self {
+            Payload::Whole { body, .. } => Some(body.len() as u64),
+            Payload::Coming(source) => source.framed(),
+        }
+    }
+}
+
+impl Message {
+    /// Whether it can't be sent from its beginning any more.
+    pub fn spent(&self) -> bool {
+        matches!(&self.body, Payload::Coming(source) if source.begun())
+    }
+
+    /// The request for an attempt that has so much time left.
+    pub(super) fn request(&self, left: Duration) -> Request<RequestBody> {
+        let (body, length) = match &self.body {
+            Payload::Whole { body, .. } => (Either::Left(Full::new(body.clone())), Some(body.len() as u64)),
+            Payload::Coming(source) => (Either::Right(Upload::new(source.clone())), source.length),
+        };
+        let mut request = Request::new(body);
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.target.clone();
+        let headers = request.headers_mut();
+        headers.clone_from(&self.headers);
+        let left_ms = left.as_micros().div_ceil(1000) as u64;
+        headers.insert("x-time-left-ms", left_ms.into());
+        match length {
+            Some(length) if self.method == Method::POST => {
+                drop(headers.insert(CONTENT_LENGTH, length.into()))
+            }
+            Some(_) => {}
+            None => drop(headers.insert(TRANSFER_ENCODING, HeaderValue::from_static("chunked"))),
+        }
+        request
+    }
+}
--- a/node/src/counter.rs
+++ b/node/src/counter.rs
@@ -1,7 +1,7 @@
 //! The counter client: one call out per connection, so that a late answer is never another call's.
 
 use crate::clock::Clock;
-use crate::metered::{self, Broken, Link, SETTLE};
+use crate::link::{head_length, Broken, Link, SETTLE};
 use bytes::Bytes;
 use caperwind::{CountName, Counter as Limits, Micros, Reckoned};
 use http_body_util::{BodyExt, Either, Full, Limited};
@@ -194,7 +194,7 @@
     let Ok(request) = request.body(Either::Left(Full::new(Bytes::new()))) else {
         return (Reckoned::NotAdded, None);
     };
-    let length = metered::head_length(&request);
+    let length = head_length(&request);
     let answer = match link.send(request, || Some(length)).await {
         Ok(answer) => answer,
         Err(Broken { written: true }) => return (Reckoned::Unanswered, None),
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -3,11 +3,11 @@
 
 use crate::admission::{Fault, Terms};
 use crate::backend::{ClientClosed, Finish, Message, Payload, Pool};
+use crate::body::download::AnswerBody;
 use crate::clock::Clock;
 use crate::counter::{Counter, Results};
 use crate::discovery::Subscriber;
 use crate::endpoints::{Endpoint, List, Status};
-use crate::flow::Answered;
 use caperwind::{
     Action, Arrival, AttemptIx, BackendId, BackendRow, BackendState, CellIx, Config, CountName, Ended, Event,
     Gateway, KindIx, Legacy, ListKind, Micros, Outcome, Reckoned, Refusals, RequestId, Spent, TimerToken,
@@ -41,7 +41,7 @@
 
 /// The final answer to a request.
 pub enum Reply {
-    Served(Box<Response<Answered>>),
+    Served(Box<Response<AnswerBody>>),
     /// Trying again is harmless; when to, in microseconds (0: no advice), and whether it was tried.
     Refused {
         wait: Micros,
@@ -367,7 +367,7 @@
     /// Backends listed, and of these the ones that get nothing new; and attempts written whole.
     pub fn backends(&self) -> (usize, usize, u64) {
         let v = self.0.core.borrow().gateway.vitals();
-        (v.listed, v.skipped, self.0.pool.tries.get())
+        (v.listed, v.skipped, self.0.pool.attempts_written.get())
     }
 
     /// The list kept from an earlier life.
--- a/node/src/figures.rs
+++ b/node/src/figures.rs
@@ -1,5 +1,7 @@
-//! What operators count: requests by how they ended, requests in work.
+//! What operators count: requests by how they ended, requests in work, bodies that ended too soon.
 
+use crate::body::interruption::{AnswerInterruption, UploadInterruption};
+use crate::log::LimitedLog;
 use caperwind::{ClassIx, Config};
 use hyper::StatusCode;
 use serde_json::{json, Map, Value};
@@ -30,6 +32,9 @@
     classes: Vec<String>,
     ended: RefCell<Vec<[u64; 3]>>,
     in_progress: Cell<u64>,
+    answers_interrupted: [Cell<u64>; AnswerInterruption::ALL.len()],
+    uploads_interrupted: [Cell<u64>; UploadInterruption::ALL.len()],
+    interruptions: LimitedLog,
 }
 
 /// A request in work, for as long as this lives.
@@ -45,7 +50,31 @@
     pub fn new(module: &Config) -> Rc<Self> {
         let classes: Vec<_> = module.classes.iter().map(|c| c.name.clone()).collect();
         let ended = RefCell::new(vec![[0; 3]; classes.len()]);
-        Rc::new(Figures { classes, ended, in_progress: Cell::new(0) })
+        Rc::new(Figures {
+            classes,
+            ended,
+            in_progress: Cell::new(0),
+            answers_interrupted: Default::default(),
+            uploads_interrupted: Default::default(),
+            interruptions: LimitedLog::default(),
+        })
+    }
+
+    /// A class's name, as the settings give it.
+    pub fn class_name(&self, class: ClassIx) -> &str {
+        self.classes.get(usize::from(class.0)).map_or("unknown", String::as_str)
+    }
+
+    /// Counts an answer that ended too soon, with a line for the log.
+    pub fn answer_interrupted(&self, why: AnswerInterruption, line: &str) {
+        increment(&self.answers_interrupted[why as usize]);
+        self.interruptions.line(line);
+    }
+
+    /// Counts a request's body that ended too soon, with a line for the log.
+    pub fn upload_interrupted(&self, why: UploadInterruption, line: &str) {
+        increment(&self.uploads_interrupted[why as usize]);
+        self.interruptions.line(line);
     }
 
     /// A request has come whole.
@@ -68,6 +97,8 @@
             let counts = self.classes.iter().zip(ended.iter());
             counts.map(|(c, n)| (c.clone(), n[ending as usize].into())).collect::<Map<_, _>>()
         };
+        let answers = AnswerInterruption::ALL.map(|why| why.name());
+        let uploads = UploadInterruption::ALL.map(|why| why.name());
         json!({
             "passed": by_class(Ending::Passed),
             "dropped": by_class(Ending::Dropped),
@@ -76,6 +107,17 @@
             "in_progress": self.in_progress.get(),
             "known_backends": known,
             "skipped_backends": skipped,
+            "answers_interrupted": by_name(&answers, &self.answers_interrupted),
+            "uploads_interrupted": by_name(&uploads, &self.uploads_interrupted),
         })
     }
 }
+
+fn increment(count: &Cell<u64>) {
+    count.set(count.get() + 1);
+}
+
+fn by_name(names: &[&str], counts: &[Cell<u64>]) -> Map<String, Value> {
+    let pairs = names.iter().zip(counts);
+    pairs.map(|(name, count)| ((*name).to_owned(), count.get().into())).collect()
+}
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod admission;
 pub mod backend;
+pub mod body;
 pub mod clock;
 pub mod config;
 pub mod counter;
@@ -11,9 +12,10 @@
 pub mod driver;
 pub mod endpoints;
 pub mod figures;
-pub mod flow;
 pub mod handover;
-pub mod metered;
+pub mod link;
+pub mod log;
+pub mod meter;
 pub mod ops;
 pub mod process;
 pub mod server;
--- a/node/src/metered.rs
+++ b/node/src/meter.rs
@@ -1,34 +1,23 @@
-//! Sockets that know what has gone through them, and client connections over such.
+//! Sockets that know what has gone through them.
 
-use crate::admission::{Budget, Held};
-use crate::flow::Outbound;
+use crate::body::budget::{Budget, Reservation};
 use bytes::{Buf, BufMut, BytesMut};
-use hyper::body::Incoming;
-use hyper::client::conn::http1;
-use hyper::{Request, Response};
-use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
-use std::net::SocketAddr;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{ready, Context, Poll, Waker};
-use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::task::AbortHandle;
 
 /// A head longer than this is no head.
 pub const HEAD_BYTES: usize = 16 * 1024;
 /// Heads are seldom longer.
 const SHORT_HEAD: usize = 1024;
-/// A link is not used again sooner after its last answer. Danger: an answer names no request, and a second one to the
-/// last request, which was seen to come up to 4 ms after it, would be taken for the next one's.
-pub const SETTLE: Duration = Duration::from_millis(10);
 /// What has come behind a request in work is read ahead up to this, in steps, so that the client's end behind it
 /// is seen: a thousand pipelined requests. Beyond it, bytes are thrown away, and the connection ends with the
 /// answer; at a bound that is several times what sockets hold, it ends at once: a client that sends on and on.
@@ -41,7 +30,7 @@
 struct ReadAhead {
     bytes: BytesMut,
     /// A part of what bodies may hold for each `STEP`.
-    held: Vec<Held>,
+    reserved: Vec<Reservation>,
     /// Bytes thrown away behind those.
     skipped: usize,
 }
@@ -49,13 +38,13 @@
 impl ReadAhead {
     /// Room for more; 0 where the bound is reached, `None` where bodies need the memory.
     fn room(&mut self, budget: &Budget) -> Option<usize> {
-        if self.bytes.len() == self.held.len() * STEP {
+        if self.bytes.len() == self.reserved.len() * STEP {
             if self.bytes.len() >= READ_AHEAD {
                 return Some(0);
             }
-            self.held.push(budget.take_spare(STEP)?);
+            self.reserved.push(budget.reserve_spare(STEP)?);
         }
-        let room = self.held.len() * STEP - self.bytes.len();
+        let room = self.reserved.len() * STEP - self.bytes.len();
         self.bytes.reserve(room);
         Some(room)
     }
@@ -65,7 +54,7 @@
         buf.put_slice(&self.bytes[..n]);
         self.bytes.advance(n);
         if self.bytes.is_empty() {
-            (self.bytes, self.held) = Default::default();
+            (self.bytes, self.reserved) = Default::default();
         }
     }
 }
@@ -96,7 +85,7 @@
     }
 
     /// Gives the descriptor back, whoever else knows of the socket.
-    fn close(&self) {
+    pub fn close(&self) {
         drop(self.stream.take());
     }
 
@@ -308,81 +297,3 @@
         Poll::Ready(SockRef::from(&*self.0.stream()?).shutdown(Shutdown::Write))
     }
 }
-
-/// A request that got no answer.
-pub struct Broken {
-    /// Whether its last byte had been written: only then may it have run.
-    pub written: bool,
-}
-
-/// A connection that carries one request at a time; dropping it closes the socket.
-pub struct Link {
-    sender: http1::SendRequest<Outbound>,
-    meter: Rc<Meter>,
-    task: AbortHandle,
-}
-
-/// Danger: an aborted task holds what it has until the runtime comes to it, and whoever counts connections counts
-/// this one no more: its descriptor is given back at once.
-impl Drop for Link {
-    fn drop(&mut self) {
-        self.task.abort();
-        self.meter.close();
-    }
-}
-
-impl Link {
-    pub async fn connect(address: SocketAddr) -> io::Result<Self> {
-        let stream = TcpStream::connect(address).await?;
-        stream.set_nodelay(true)?;
-        let meter = Meter::new(stream);
-        let mut http = http1::Builder::new();
-        http.max_buf_size(HEAD_BYTES);
-        let (sender, conn) =
-            http.handshake(TokioIo::new(Metered(meter.clone()))).await.map_err(io::Error::other)?;
-        let task = tokio::task::spawn_local(async move { drop(conn.await) }).abort_handle();
-        Ok(Link { sender, meter, task })
-    }
-
-    /// Whether the other side still holds it open and has sent nothing that was not asked for. Danger: what
-    /// stands behind an answer would be taken for the next one's; the library ends the connection over what
-    /// it has read of that, and the rest waits in the socket.
-    pub fn usable(&self) -> bool {
-        !self.sender.is_closed() && self.meter.quiet()
-    }
-
-    /// Bytes written to the socket so far.
-    pub fn written(&self) -> u64 {
-        self.meter.written.get()
-    }
-
-    /// The socket, for who counts what is written to it.
-    pub fn meter(&self) -> Rc<Meter> {
-        self.meter.clone()
-    }
-
-    /// Sends a request and waits for the head of its answer. `length` is what it takes on the wire, `None` as
-    /// long as that is not known.
-    pub async fn send(
-        &mut self,
-        request: Request<Outbound>,
-        length: impl Fn() -> Option<u64>,
-    ) -> Result<Response<Incoming>, Broken> {
-        self.sender.ready().await.map_err(|_| Broken { written: false })?;
-        let before = self.meter.written.get();
-        self.sender.try_send_request(request).await.map_err(|e| {
-            // A message that comes back was never begun.
-            let written =
-                e.message().is_none() && length().is_some_and(|n| self.meter.written.get() - before >= n);
-            Broken { written }
-        })
-    }
-}
-
-/// The bytes that a request's head takes on the wire. It must state its length itself wherever one is due.
-pub fn head_length<B>(request: &Request<B>) -> u64 {
-    let target = request.uri().path_and_query().map_or(1, |p| p.as_str().len());
-    let line = request.method().as_str().len() + 1 + target + " HTTP/1.1\r\n".len();
-    let fields = request.headers().iter().map(|(k, v)| k.as_str().len() + 2 + v.len() + 2).sum::<usize>();
-    (line + fields + 2) as u64
-}
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -1,11 +1,12 @@
 //! The life of one gateway process: start, reload, shutdown.
 
 use crate::backend::Pool;
+use crate::body::budget::Budget;
 use crate::config::{Bounds, Held, Reload, Setup};
 use crate::counter::Counter;
 use crate::handover::{Handover, Message};
 use crate::server::Server;
-use crate::{admission, discovery, driver, endpoints, figures, handover, ops};
+use crate::{discovery, driver, endpoints, figures, handover, ops};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -56,7 +57,7 @@
     let timers = driver.clone();
     tokio::task::spawn_local(async move { timers.keep_time().await });
 
-    let bodies = admission::Budget::new(setup.body_bytes);
+    let bodies = Budget::new(setup.body_bytes);
     let server = Server::new(driver.clone(), figures.clone(), alone.clients, bodies);
     let others = Handover::join(driver.clone(), setup.meet).await;
     if let Some(address) = setup.ops {
--- /dev/null
+++ b/node/src/server/connection.rs
@@ -0,0 +1,246 @@
+//! A client's connection: what it is doing, and how long it may take for that.
+
+use crate::body::interruption::{AnswerInterruption, UploadInterruption};
+use crate::body::upload::Backpressure;
+use crate::meter::Meter;
+use std::cell::{Cell, OnceCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+/// A whole request must have come this long after the connection or, on a later one, its first byte; a long one
+/// has more time by its bytes. Heads may take 2 s and bodies come at 64 kB/s; 3 s is for none that is not whole.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(2_400);
+/// The slowest that a body may come, in bytes a second.
+const MIN_UPLOAD_RATE: f64 = 40_000.0;
+/// A request that takes longer than this to come gives way where connections run short.
+const SLOW_REQUEST: Duration = Duration::from_millis(300);
+/// An answer that was given less than this ago may still be on its way.
+const ANSWER_SETTLES: Duration = Duration::from_millis(20);
+/// One that has just come may be about to ask.
+pub const ABOUT_TO_ASK: Duration = Duration::from_millis(50);
+
+/// What a client's connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// No whole request has come yet.
+    New,
+    /// A later request has begun to come.
+    Coming,
+    /// A request was let in whose body is still coming.
+    Body,
+    /// A request is in work.
+    Work,
+    /// An answer is on its way.
+    Reply,
+    /// Between requests.
+    Idle,
+}
+
+/// Which connections make way first, where they run short.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum EvictionRank {
+    /// It has said nothing.
+    Silent,
+    /// It is between requests.
+    Idle,
+    /// The head of its request comes slowly.
+    SlowHead,
+    /// The body of its request comes slowly.
+    SlowBody,
+}
+
+/// Why this side ended a connection at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CutReason {
+    /// Its request comes too slowly.
+    RequestTooSlow,
+    /// Its client was seen to have closed it.
+    ClientClosed,
+    /// Its client takes nothing of an answer.
+    ClientStopped,
+    /// It made way for another one.
+    MadeWay,
+    /// This process ends.
+    ProcessEnded,
+}
+
+impl CutReason {
+    /// What this means for an answer that was on its way.
+    pub fn of_answer(self) -> AnswerInterruption {
+        match self {
+            CutReason::ClientStopped => AnswerInterruption::ClientStopped,
+            CutReason::ProcessEnded => AnswerInterruption::ProcessEnded,
+            CutReason::RequestTooSlow | CutReason::ClientClosed | CutReason::MadeWay => {
+                AnswerInterruption::ClientClosed
+            }
+        }
+    }
+
+    /// What this means for a body that was still coming.
+    pub fn of_upload(self) -> UploadInterruption {
+        match self {
+            CutReason::RequestTooSlow => UploadInterruption::TooSlow,
+            CutReason::MadeWay => UploadInterruption::MadeWay,
+            CutReason::ClientClosed | CutReason::ClientStopped | CutReason::ProcessEnded => {
+                UploadInterruption::ClientBroke
+            }
+        }
+    }
+}
+
+/// A client's connection as the others see it.
+pub struct ClientConnection {
+    /// Its socket.
+    pub meter: Rc<Meter>,
+    phase: Cell<Phase>,
+    /// When the phase began, and what had been read by then.
+    since: Cell<Instant>,
+    read_before: Cell<u64>,
+    /// What had been written when that last changed, and when.
+    write_progress: Cell<(u64, Instant)>,
+    /// How long its body was held up by this side.
+    pub backpressure: Rc<Backpressure>,
+    /// Told to end between requests.
+    pub close: Notify,
+    /// It has been told to make way.
+    pub leaving: Cell<bool>,
+    cut_reason: Cell<Option<CutReason>>,
+    task: OnceCell<AbortHandle>,
+}
+
+impl ClientConnection {
+    /// A connection on which nothing has come yet.
+    pub fn new(stream: TcpStream) -> Rc<Self> {
+        let connection = ClientConnection {
+            meter: Meter::new(stream),
+            phase: Cell::new(Phase::New),
+            since: Cell::new(Instant::now()),
+            read_before: Cell::new(0),
+            write_progress: Cell::new((0, Instant::now())),
+            backpressure: Rc::default(),
+            close: Notify::new(),
+            leaving: Cell::new(false),
+            cut_reason: Cell::new(None),
+            task: OnceCell::new(),
+        };
+        connection.meter.listen();
+        Rc::new(connection)
+    }
+
+    /// Names the task that serves it.
+    pub fn served_by(&self, task: AbortHandle) {
+        let _ = self.task.set(task);
+    }
+
+    /// What it is doing.
+    pub fn phase(&self) -> Phase {
+        self.phase.get()
+    }
+
+    /// How long it has been doing that.
+    pub fn age(&self) -> Duration {
+        self.since.get().elapsed()
+    }
+
+    /// When the phase began.
+    pub fn since(&self) -> Instant {
+        self.since.get()
+    }
+
+    /// Begins a phase.
+    pub fn enter(&self, phase: Phase) {
+        self.phase.set(phase);
+        self.since.set(Instant::now());
+        self.read_before.set(self.meter.read());
+        if phase != Phase::Work {
+            self.backpressure.reset();
+        }
+        if phase == Phase::Idle {
+            self.meter.listen();
+        }
+    }
+
+    /// Begins to take a body: what has been read counts from the head on, and so does its time.
+    pub fn enter_body(&self) {
+        self.phase.set(Phase::Body);
+    }
+
+    /// Bytes read since the phase began.
+    pub fn read_in_phase(&self) -> u64 {
+        self.meter.read().saturating_sub(self.read_before.get())
+    }
+
+    /// Whether its request should have come by now; what this side holds up is not its fault.
+    pub fn overdue(&self) -> bool {
+        let by_bytes = Duration::from_secs_f64(self.read_in_phase() as f64 / MIN_UPLOAD_RATE);
+        self.age() >= REQUEST_TIMEOUT + by_bytes + self.backpressure.paused()
+    }
+
+    /// Begins to watch how an answer is taken.
+    pub fn begin_answer(&self) {
+        self.write_progress.set((self.meter.written(), Instant::now()));
+    }
+
+    /// Whether its answer has stood still for so long.
+    pub fn stuck(&self, for_long: Duration) -> bool {
+        let (written, at) = self.write_progress.get();
+        if self.meter.written() != written {
+            self.write_progress.set((self.meter.written(), Instant::now()));
+        }
+        self.meter.written() == written && at.elapsed() >= for_long
+    }
+
+    /// Its request waits for an answer, or for more of itself.
+    pub fn waiting(&self) -> bool {
+        matches!(self.phase(), Phase::Body | Phase::Work)
+    }
+
+    /// Nothing has been read since the phase began.
+    pub fn untouched(&self) -> bool {
+        self.meter.read() == self.read_before.get()
+    }
+
+    /// Nothing has come, read or not: closing it cuts nothing that has begun.
+    pub fn nothing_begun(&self) -> bool {
+        self.untouched() && self.meter.quiet()
+    }
+
+    /// It has just come, has said nothing, and may be about to ask.
+    pub fn fresh(&self, now: Instant) -> bool {
+        self.phase() == Phase::New && self.untouched() && now - self.since.get() < ABOUT_TO_ASK
+    }
+
+    /// Where it stands in the line of those that make way; `None` for those that do not.
+    pub fn eviction_rank(&self, now: Instant) -> Option<EvictionRank> {
+        let age = now - self.since.get();
+        match self.phase() {
+            Phase::New if self.untouched() => (age >= ABOUT_TO_ASK).then_some(EvictionRank::Silent),
+            Phase::Idle if self.untouched() && age >= ANSWER_SETTLES => Some(EvictionRank::Idle),
+            Phase::New | Phase::Coming if age >= SLOW_REQUEST => Some(EvictionRank::SlowHead),
+            Phase::Body if age >= SLOW_REQUEST => Some(EvictionRank::SlowBody),
+            _ => None,
+        }
+    }
+
+    /// Ends what is between requests, once its last answer is written.
+    pub fn dismiss(&self) {
+        self.close.notify_one();
+    }
+
+    /// Ends it at once.
+    pub fn cut(&self, why: CutReason) {
+        self.cut_reason.set(Some(why));
+        if let Some(task) = self.task.get() {
+            task.abort();
+        }
+    }
+
+    /// Why it ended: where this side did not, its client did.
+    pub fn cut_reason(&self) -> CutReason {
+        self.cut_reason.get().unwrap_or(CutReason::ClientClosed)
+    }
+}
--- /dev/null
+++ b/node/tests/interruptions.rs
@@ -0,0 +1,153 @@
+//! Answers and bodies that end before they are whole: each way has a name, a log line and a figure.
+
+mod common;
+
+use common::*;
+use std::time::{Duration, Instant};
+
+struct Scene {
+    gateway: Gateway,
+    _discovery: Discovery,
+    _counter: Fake,
+}
+
+fn scene(backend: &Fake) -> Scene {
+    let entries = vec![entry("s-0", backend.address, "SERVING")];
+    let (discovery, counter) = (Discovery::start(entries), counter());
+    let gateway = Gateway::start(&Start::default(), discovery.fake.address, counter.address);
+    discovery.settled();
+    Scene { gateway, _discovery: discovery, _counter: counter }
+}
+
+impl Scene {
+    /// Waits until one body has ended in this way, and checks that it alone is counted and told.
+    fn expect(&self, figure: &str, why: &str) {
+        let until = Instant::now() + LONG;
+        let count = || self.gateway.figures()[figure].clone();
+        while count()[why] != 1 {
+            assert!(Instant::now() < until, "{why}: {} {}", count(), self.gateway.log());
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        let counts = count();
+        let all: u64 = counts.as_object().expect("counts").values().filter_map(|n| n.as_u64()).sum();
+        assert_eq!(all, 1, "{counts}");
+        let kind = if figure.starts_with("answers") { "answer" } else { "upload" };
+        let line = format!("{kind} interrupted: {why}; request \"id-");
+        assert!(self.gateway.log().contains(&line), "{line:?} is not in {}", self.gateway.log());
+    }
+}
+
+/// The beginning of a long answer.
+fn begun(length: usize) -> String {
+    format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{}", "z".repeat(70_000))
+}
+
+#[test]
+fn an_answer_whose_backend_breaks_off() {
+    let backend = Fake::start(|_| Reaction::PiecesAndReset(vec![(0, begun(200_000)), (30, "z".into())]));
+    let scene = scene(&backend);
+    let mut client = scene.gateway.client();
+    client.send(&request("consulta", 7, 2000));
+    assert!(client.answer().is_none());
+    scene.expect("answers_interrupted", "backend_broke");
+}
+
+#[test]
+fn an_answer_that_is_too_long() {
+    let chunk = format!("100000\r\n{}\r\n", "z".repeat(1 << 20));
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n".to_owned();
+    let backend = Fake::start(move |_| {
+        let chunks = (0..41).map(|_| (0, chunk.clone()));
+        Reaction::Pieces([(0, head.clone())].into_iter().chain(chunks).collect())
+    });
+    let scene = scene(&backend);
+    let mut client = scene.gateway.client();
+    client.send(&request("consulta", 7, 2000));
+    assert!(client.answer().is_none());
+    scene.expect("answers_interrupted", "too_long");
+}
+
+#[test]
+fn an_answer_that_is_late() {
+    let text = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n";
+    let backend = Fake::start(move |_| Reaction::Answer(text.to_owned()));
+    let scene = scene(&backend);
+    let mut client = scene.gateway.client();
+    client.send(&request("consulta", 7, 600));
+    assert!(client.answer().is_none());
+    scene.expect("answers_interrupted", "late");
+}
+
+#[test]
+fn an_answer_that_stalls() {
+    let backend = Fake::start(|_| Reaction::Answer(begun(200_000)));
+    let scene = scene(&backend);
+    let mut client = scene.gateway.client();
+    client.send(&request("consulta", 7, 600));
+    assert!(client.answer().is_none());
+    scene.expect("answers_interrupted", "stalled");
+}
+
+#[test]
+fn an_answer_whose_client_leaves() {
+    for how in [Leave::Close, Leave::Reset] {
+        let backend = Fake::start(|_| Reaction::Answer(begun(200_000)));
+        let scene = scene(&backend);
+        let mut client = scene.gateway.client();
+        client.send(&request("consulta", 7, 2000));
+        assert_eq!(client.line(), "HTTP/1.1 200 OK");
+        client.leave(how);
+        scene.expect("answers_interrupted", "client_closed");
+        assert_eq!(scene.gateway.figures()["bad_gateway"]["consulta"], 0);
+    }
+}
+
+#[test]
+fn an_upload_whose_client_leaves() {
+    let backend = Fake::start(|_| ok("x"));
+    let scene = scene(&backend);
+    let mut client = scene.gateway.client();
+    let whole = request("orden-nueva", 7, 2000);
+    client.send(&whole[..whole.len() - 2]);
+    // The head has come once the figures count it as one in the gateway's hands: then the client goes.
+    std::thread::sleep(Duration::from_millis(50));
+    client.leave(Leave::Close);
+    scene.expect("uploads_interrupted", "client_broke");
+}
+
+#[test]
+fn an_upload_that_comes_too_slowly() {
+    let backend = Fake::start(|_| ok("x"));
+    let scene = scene(&backend);
+    let mut client = scene.gateway.client();
+    let whole = request("orden-nueva", 7, 2000);
+    client.send(&whole[..whole.len() - 2]);
+    assert!(client.ended_or_failed());
+    scene.expect("uploads_interrupted", "too_slow");
+}
+
+#[test]
+fn an_upload_that_is_too_long() {
+    let backend = Fake::start(|_| ok("x"));
+    let scene = scene(&backend);
+    let mut client = scene.gateway.client();
+    let text = request("orden-nueva", 7, 2000);
+    client.send(&text.replace("content-length: 4\r\n\r\n{42}", "transfer-encoding: chunked\r\n\r\n"));
+    let chunk = format!("100000\r\n{}\r\n", "y".repeat(1 << 20));
+    (0..41).for_each(|_| client.push(&chunk));
+    scene.expect("uploads_interrupted", "too_long");
+}
+
+#[test]
+fn an_upload_that_is_answered_early() {
+    let backend = Fake::start(|_| ok("x"));
+    let scene = scene(&backend);
+    // Nothing can be sent anywhere: the answer does not wait for the body.
+    assert_eq!(scene.gateway.call("PUT /backends/disable?id=s-0").status(), 200);
+    let mut client = scene.gateway.client();
+    let text = request("orden-nueva", 7, 2000);
+    client.send(&text.replace("content-length: 4\r\n\r\n{42}", "content-length: 200000\r\n\r\n"));
+    client.send(&"y".repeat(100_000));
+    assert!(client.answer().is_some_and(|a| a.status() >= 400));
+    scene.expect("uploads_interrupted", "answered_early");
+}
--- a/node/tests/metered.rs
+++ b/node/tests/metered.rs
@@ -1,7 +1,8 @@
 //! Sockets that know what goes through them and when the other side has ended.
 
-use badgerglade::flow::Outbound;
-use badgerglade::metered::{head_length, Broken, Link, Meter};
+use badgerglade::body::upload::RequestBody;
+use badgerglade::link::{head_length, Broken, Link};
+use badgerglade::meter::Meter;
 use bytes::Bytes;
 use http_body_util::{Either, Full};
 use hyper::Request;
@@ -15,7 +16,7 @@
 
 const LONG: Duration = Duration::from_secs(20);
 
-fn post(body: Vec<u8>) -> Request<Outbound> {
+fn post(body: Vec<u8>) -> Request<RequestBody> {
     let request = Request::post("/orden-nueva/0000000000000007?a=b").header("host", "backend.local");
     let request = request.header("X-Correlation-Id", "9b1f").header("content-length", body.len().to_string());
     request.body(Either::Left(Full::new(Bytes::from(body)))).expect("a request")
--- a/node/tests/pool.rs
+++ b/node/tests/pool.rs
@@ -2,10 +2,12 @@
 
 mod common;
 
-use badgerglade::admission::Budget;
-use badgerglade::backend::{parse_billed, parse_load, shorter, ClientClosed, Finish, Message, Payload, Pool};
+use badgerglade::backend::load_report::{parse_billed, parse_load};
+use badgerglade::backend::pool::shorter;
+use badgerglade::backend::{ClientClosed, Finish, Message, Payload, Pool};
+use badgerglade::body::budget::Budget;
 use badgerglade::config::{Bounds, Setup};
-use badgerglade::metered::Meter;
+use badgerglade::meter::Meter;
 use caperwind::{BackendId, LoadField, Outcome};
 use common::*;
 use std::cell::Cell;
@@ -59,8 +61,8 @@
     let there =
         std::net::TcpStream::connect(listener.local_addr().expect("an address")).expect("a connection");
     let (here, _): (TcpStream, _) = listener.accept().await.expect("a connection");
-    let held = Budget::new(1024).take(0).expect("room");
-    let body = Payload::Whole { body: "{42}".into(), _held: held };
+    let reservation = Budget::new(1024).reserve(0).expect("room");
+    let body = Payload::Whole { body: "{42}".into(), _reservation: reservation };
     let headers = [("host", "b"), ("x-correlation-id", "9b1f")];
     let headers = headers.map(|(k, v)| (k.parse().expect("a name"), v.parse().expect("a value")));
     let (method, target) = (hyper::Method::POST, "/orden-nueva/0000000000000007".parse().expect("a path"));
@@ -130,7 +132,7 @@
         let ((_one, first), (_other, second)) = (client().await, client().await);
         let taken = pool.clone();
         let out = tokio::task::spawn_local(async move { attempt(&taken, &first).await.is_ok() });
-        while pool.tries.get() == 0 {
+        while pool.attempts_written.get() == 0 {
             tokio::task::yield_now().await;
         }
         let found = timeout(AT_ONCE, attempt(&pool, &second)).await.expect("no wait");
