Do not cut off answers that their backend is still giving

An answer without a length counted as short until 64 KiB of it had come, and a short one was broken off at the end of its request's time, whatever was still coming.

Found by reading for the same kind of fault, each with a test over real connections that failed before: - the timer fired before what stood in the socket was read: the process had been stopped, or was late - gathering an answer without a length reached into the end of its request's time and ended its attempt - SIGTERM: an answer whose backend rested, or whose client had not read, for 0.2 s was cut 3.3 s later, a long one too - units of an ending process were handed over behind its last long answer only, and lost as SIGKILL came first - an answer that came before its request's body was whole had 900 s; it has its time from the body's end now, and a client that stops sending is let go. The task that reads the rest of a body never ended where its client broke off - a client was taken to have stopped where the backend was silent for 15 s - the end of an answer that its client takes slowly is still being written: it is no idle connection (not shown by a test)

--- a/node/src/backend/attempt.rs
+++ b/node/src/backend/attempt.rs
@@ -3,8 +3,9 @@
 use super::load_report::{parse_billed, parse_load};
 use super::message::{strip_hop_by_hop, Message, Payload};
 use super::pool::{shorter, Connection, Pool};
-use crate::body::download::{AnswerBody, AnswerConnection, Download};
+use crate::body::download::{AnswerBody, AnswerConnection, Deadline, Download};
 use crate::body::gather::{gather, Gathered};
+use crate::body::upload::UploadSource;
 use crate::body::{MAX_BODY_BYTES, MAX_BUFFERED_BYTES};
 use crate::link::{head_length, Broken};
 use bytes::Bytes;
@@ -14,7 +15,6 @@
 use hyper::header::HOST;
 use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode};
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,6 +22,8 @@
 
 /// An answer in chunks, whose length is not told, is held for so long; what is not whole then is passed on.
 const GATHER_TIME: Duration = Duration::from_millis(25);
+/// It is passed on this long before its request's time ends, at the latest.
+const GATHER_MARGIN: Duration = Duration::from_millis(5);
 /// A probe unanswered by then has failed.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 const LOAD_HEADER: &str = "x-backend-load";
@@ -48,13 +50,13 @@
 pub struct ClientClosed;
 
 /// What is known of an answer beside itself.
-struct Received<'a> {
+struct Received {
     id: BackendId,
     connection: Connection,
     /// The end of its request's time, if it may be passed on to a client.
-    deadline: Option<Instant>,
-    /// Whether all of the request has gone: the connection is of no use before.
-    sent: &'a dyn Fn() -> bool,
+    deadline: Option<Deadline>,
+    /// The request's body, where it is passed on as it comes.
+    upload: Option<Rc<UploadSource>>,
 }
 
 /// The connection of an answer that is passed on.
@@ -62,6 +64,12 @@
     pool: Rc<Pool>,
     id: BackendId,
     connection: Connection,
+    upload: Option<Rc<UploadSource>>,
+}
+
+/// Whether all of a request has gone: its connection is of no use before.
+fn request_sent(upload: Option<&Rc<UploadSource>>) -> bool {
+    upload.is_none_or(|source| source.framed().is_some())
 }
 
 impl AnswerConnection for PooledConnection {
@@ -69,8 +77,14 @@
         self.connection.address
     }
 
+    fn has_unread(&self) -> bool {
+        !self.connection.link.meter().quiet()
+    }
+
     fn release(self: Box<Self>) {
-        self.pool.put_back(self.id, self.connection);
+        if request_sent(self.upload.as_ref()) {
+            self.pool.put_back(self.id, self.connection);
+        }
     }
 }
 
@@ -92,7 +106,7 @@
         self: &Rc<Self>,
         id: BackendId,
         message: &Message,
-        deadline: &Cell<Instant>,
+        deadline: &Deadline,
     ) -> Result<Finish, ClientClosed> {
         // Danger: an attempt that begins after its client has closed is work for nobody, and counts.
         if message.client.peer_closed() {
@@ -131,8 +145,8 @@
             }
             match connection.link.send(request, length).await {
                 Ok(response) => {
-                    let sent = &|| message.body.framed().is_some();
-                    let received = Received { id, connection, deadline: Some(deadline.get()), sent };
+                    let (deadline, upload) = (Some(deadline.clone()), message.body.upload());
+                    let received = Received { id, connection, deadline, upload };
                     return Ok(self.read(response, received).await);
                 }
                 Err(Broken { written: true }) => {
@@ -150,7 +164,7 @@
 
     /// Reads an answer: to its end where it is small, else its beginning, with the rest to follow. A spoilt one
     /// may have run.
-    async fn read(self: &Rc<Self>, response: Response<Incoming>, received: Received<'_>) -> Finish {
+    async fn read(self: &Rc<Self>, response: Response<Incoming>, received: Received) -> Finish {
         let (mut head, body) = response.into_parts();
         let load = self.load(head.headers.get(LOAD_HEADER).map(|v| v.as_bytes()));
         let length = body.size_hint().exact();
@@ -158,8 +172,8 @@
         if length.is_some_and(|n| n > MAX_BODY_BYTES) || head.status.is_informational() {
             return Finish { load, ..Outcome::Reset.into() };
         }
-        let deadline = received.deadline.filter(|_| head.status == StatusCode::OK);
-        let gathered = self.gather(body, length, deadline).await;
+        let deadline = received.deadline.clone().filter(|_| head.status == StatusCode::OK);
+        let gathered = self.gather(body, length, deadline.as_ref()).await;
         let outcome = outcome_of(&head);
         let billed = head.headers.get(BILLED).filter(|_| outcome == Outcome::Ok);
         let billed = billed.and_then(|v| parse_billed(v.to_str().ok()?, self.units_top));
@@ -167,15 +181,16 @@
         head.headers.remove(LOAD_HEADER);
         let body = match gathered {
             Gathered::Whole(body) => {
-                if (received.sent)() {
+                if request_sent(received.upload.as_ref()) {
                     self.put_back(received.id, received.connection);
                 }
                 Either::Left(Full::new(body))
             }
             Gathered::Part(first, rest) => match deadline {
                 Some(deadline) => {
-                    let (pool, id, connection) = (self.clone(), received.id, received.connection);
-                    let connection = Box::new(PooledConnection { pool, id, connection });
+                    let Received { id, connection, upload, .. } = received;
+                    let connection = PooledConnection { pool: self.clone(), id, connection, upload };
+                    let connection = Box::new(connection);
                     Either::Right(Download::new(first, rest, deadline, connection))
                 }
                 // What an answer that is none of ours to pass on has to say is not waited for.
@@ -189,12 +204,14 @@
     }
 
     /// Gathers an answer that may be small, as far as there is memory for it. One that may be passed on is waited
-    /// for no longer than `GATHER_TIME` where its length is not told.
-    async fn gather(&self, body: Incoming, length: Option<u64>, deadline: Option<Instant>) -> Gathered {
+    /// for no longer than `GATHER_TIME` where its length is not told, and not up to the end of its request's time:
+    /// that would end its attempt, though its first bytes have come in time.
+    async fn gather(&self, body: Incoming, length: Option<u64>, deadline: Option<&Deadline>) -> Gathered {
         let small = length.is_none_or(|n| n <= MAX_BUFFERED_BYTES as u64);
         let bytes = length.and_then(|n| usize::try_from(n).ok()).unwrap_or(MAX_BUFFERED_BYTES);
         let reservation = if small { self.bodies.reserve(bytes) } else { None };
-        let until = deadline.filter(|_| length.is_none()).map(|_| Instant::now() + GATHER_TIME);
+        let until = deadline.filter(|_| length.is_none());
+        let until = until.map(|end| (Instant::now() + GATHER_TIME).min(end.get() - GATHER_MARGIN));
         match reservation {
             Some(_) => gather(body, until).await,
             None => Gathered::Part(Bytes::new(), body),
@@ -220,7 +237,7 @@
                 Err(_) => return Outcome::ConnectFailed.into(),
             };
             let mut finish =
-                self.read(response, Received { id, connection, deadline: None, sent: &|| true }).await;
+                self.read(response, Received { id, connection, deadline: None, upload: None }).await;
             let report = finish.answer.take().filter(|_| finish.load.len == 0);
             if let Some(Either::Left(report)) = report.map(|r| r.into_body()) {
                 let text = report.collect().await.map(|b| b.to_bytes()).unwrap_or_default();
--- a/node/src/backend/message.rs
+++ b/node/src/backend/message.rs
@@ -53,6 +53,14 @@
 }
 
 impl Payload {
+    /// The source, where the body is passed on as it comes.
+    pub(super) fn upload(&self) -> Option<Rc<UploadSource>> {
+        match self {
+            Payload::Whole { .. } => None,
+            Payload::Coming(source) => Some(source.clone()),
+        }
+    }
+
     /// Bytes that it takes on the wire; `None` until that is known.
     pub(super) fn framed(&self) -> Option<u64> {
         match self {
--- a/node/src/body/download.rs
+++ b/node/src/body/download.rs
@@ -1,20 +1,64 @@
 //! An answer that is passed on as it comes.
 
-use super::answer_limit::AnswerLimit;
+use super::answer_limit::{AnswerLimit, Extent};
 use super::interruption::AnswerInterruption;
 use bytes::Bytes;
 use http_body_util::{Either, Full};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::rc::Rc;
+use std::task::{ready, Context, Poll, Waker};
+use std::time::Duration;
 use tokio::time::{sleep_until, Instant, Sleep};
 
+/// Bytes that have come, but not to here yet, are waited for this long at a time.
+const UNREAD_WAIT: Duration = Duration::from_millis(10);
+
+/// The end of a request's time. It moves where the time begins to count later.
+#[derive(Clone)]
+pub struct Deadline(Rc<DeadlineState>);
+
+struct DeadlineState {
+    at: Cell<Instant>,
+    /// Who waits for an answer until then.
+    waiter: Cell<Option<Waker>>,
+}
+
+impl Deadline {
+    /// A deadline at this moment.
+    pub fn new(at: Instant) -> Self {
+        Deadline(Rc::new(DeadlineState { at: Cell::new(at), waiter: Cell::new(None) }))
+    }
+
+    /// When it is.
+    pub fn get(&self) -> Instant {
+        self.0.at.get()
+    }
+
+    /// Moves it; who waits is told.
+    pub fn set(&self, at: Instant) {
+        self.0.at.set(at);
+        if let Some(waiter) = self.0.waiter.take() {
+            waiter.wake();
+        }
+    }
+
+    /// When it is; the task is woken where it moves.
+    fn poll_get(&self, cx: &Context<'_>) -> Instant {
+        self.0.waiter.set(Some(cx.waker().clone()));
+        self.get()
+    }
+}
+
 /// The connection that an answer comes on. Dropping it closes it.
 pub trait AnswerConnection {
     /// The backend's address.
     fn backend(&self) -> SocketAddr;
+    /// Whether something of the answer, or its end, has come that nobody has read yet.
+    fn has_unread(&self) -> bool;
     /// Gives the connection back for further use: the answer has been read to its end.
     fn release(self: Box<Self>);
 }
@@ -22,11 +66,13 @@
 /// The body of an answer to a client: held whole, or passed on as it comes.
 pub type AnswerBody = Either<Full<Bytes>, Download>;
 
-/// What has come of an answer, for the log.
+/// What has come of an answer.
 #[derive(Clone, Copy, Debug)]
 pub struct Progress {
     /// The backend that it comes from.
     pub backend: SocketAddr,
+    /// What is known of its length.
+    pub extent: Extent,
     /// Bytes that have come from it.
     pub received: u64,
     /// When the last of them came.
@@ -40,10 +86,8 @@
     connection: Option<Box<dyn AnswerConnection>>,
     backend: SocketAddr,
     limit: AnswerLimit,
-    deadline: Instant,
+    deadline: Deadline,
     last_received: Instant,
-    /// Since when the next bytes have been waited for; `None` while nobody asks for them.
-    waiting_since: Option<Instant>,
     timer: Pin<Box<Sleep>>,
 }
 
@@ -52,7 +96,7 @@
     pub fn new(
         first: Bytes,
         rest: Incoming,
-        deadline: Instant,
+        deadline: Deadline,
         connection: Box<dyn AnswerConnection>,
     ) -> Self {
         let received = first.len() as u64;
@@ -63,17 +107,17 @@
             backend: connection.backend(),
             connection: Some(connection),
             limit: AnswerLimit::new(length, received),
+            timer: Box::pin(sleep_until(deadline.get())),
             deadline,
             last_received: Instant::now(),
-            waiting_since: None,
-            timer: Box::pin(sleep_until(deadline)),
         }
     }
 
     /// What has come of it so far.
     pub fn progress(&self) -> Progress {
         let (backend, last_received) = (self.backend, self.last_received);
-        Progress { backend, received: self.limit.received(), last_received }
+        let (extent, received) = (self.limit.extent(), self.limit.received());
+        Progress { backend, extent, received, last_received }
     }
 
     fn release(&mut self) {
@@ -91,20 +135,25 @@
         Poll::Ready(Some(Err(why)))
     }
 
-    /// Ready with the reason where the next bytes are waited for no longer.
+    /// Ready with the reason where the next bytes are waited for no longer. Danger: the timer may fire before the
+    /// task that reads the connection has come to run: what stands in the socket has come in time.
     fn poll_give_up(&mut self, cx: &mut Context<'_>) -> Poll<AnswerInterruption> {
-        let waiting_since = *self.waiting_since.get_or_insert_with(Instant::now);
-        let (give_up_at, why) = self.limit.give_up(self.deadline, waiting_since);
-        if self.timer.deadline() != give_up_at {
-            self.timer.as_mut().reset(give_up_at);
+        let (mut give_up_at, why) = self.limit.wait(Instant::now(), self.deadline.poll_get(cx));
+        loop {
+            if self.timer.deadline() != give_up_at {
+                self.timer.as_mut().reset(give_up_at);
+            }
+            ready!(self.timer.as_mut().poll(cx));
+            if !self.connection.as_ref().is_some_and(|connection| connection.has_unread()) {
+                return Poll::Ready(why);
+            }
+            give_up_at = Instant::now() + UNREAD_WAIT;
         }
-        self.timer.as_mut().poll(cx).map(|()| why)
     }
 
     fn receive(&mut self, bytes: usize) -> Result<(), AnswerInterruption> {
-        self.waiting_since = None;
         self.last_received = Instant::now();
-        self.limit.receive(bytes)
+        self.limit.receive(self.last_received, self.deadline.get(), bytes)
     }
 }
 
--- a/node/src/body/upload.rs
+++ b/node/src/body/upload.rs
@@ -155,12 +155,21 @@
         while self.state.get() == State::Open {
             if self.lent.get() {
                 self.changed.notified().await;
-            } else if std::future::poll_fn(|cx| self.poll(cx)).await.is_none() {
-                break;
+            } else {
+                std::future::poll_fn(|cx| self.poll_drain(cx)).await;
             }
         }
     }
 
+    /// Ready after each piece that has been read, and at the end, whichever it is.
+    fn poll_drain(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let next = self.poll(cx);
+        if next.is_ready() || self.state.get() != State::Open {
+            return Poll::Ready(());
+        }
+        Poll::Pending
+    }
+
     fn finish(&self, state: State) {
         let closing = if self.length.is_none() { LAST_CHUNK_BYTES } else { 0 };
         self.framed.set(self.framed.get() + closing);
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -3,7 +3,7 @@
 
 use crate::admission::{Fault, Terms};
 use crate::backend::{ClientClosed, Finish, Message, Payload, Pool};
-use crate::body::download::AnswerBody;
+use crate::body::download::{AnswerBody, Deadline};
 use crate::clock::Clock;
 use crate::counter::{Counter, Results};
 use crate::discovery::Subscriber;
@@ -19,7 +19,6 @@
 use std::rc::Rc;
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
-use tokio::time::Instant;
 
 /// Requests open at once; further ones are refused unseen.
 const MOST_OPEN: usize = 4096;
@@ -80,7 +79,7 @@
     reply: Option<oneshot::Sender<Reply>>,
     deadline: Micros,
     /// The same, for those at work on it.
-    last: Rc<Cell<Instant>>,
+    last: Deadline,
     /// When its last byte had come; 0: it is still coming.
     whole: Micros,
     attempts: u8,
@@ -167,6 +166,8 @@
     driver: Shared,
     id: RequestId,
     answer: oneshot::Receiver<Reply>,
+    /// The end of the request's time, also for an answer that is passed on after the request was settled.
+    deadline: Deadline,
     done: bool,
 }
 
@@ -265,7 +266,8 @@
         };
         let (reply, answer) = oneshot::channel();
         let (name, message) = (terms.id, Rc::new(message));
-        let (reply, last) = (Some(reply), Rc::new(Cell::new(self.0.clock.instant(deadline))));
+        let (reply, last) = (Some(reply), Deadline::new(self.0.clock.instant(deadline)));
+        let ends = last.clone();
         let open = Open { name, message, reply, deadline, last, whole, attempts: 0, out: Vec::new() };
         core.requests.insert(id, open);
         core.timers.insert((deadline, Due::Deadline(id)));
@@ -283,7 +285,7 @@
             coming,
         }));
         self.run(&mut core, now);
-        Ok(Ticket { driver: self.clone(), id, answer, done: false })
+        Ok(Ticket { driver: self.clone(), id, answer, deadline: ends, done: false })
     }
 
     /// Whether a backend of that name is listed or out by hand.
@@ -296,11 +298,12 @@
     pub fn uploaded(&self, ticket: &Ticket, wait: Micros) {
         let mut core = self.0.core.borrow_mut();
         let (id, now) = (ticket.id, self.0.clock.now());
-        let Some(open) = core.requests.get_mut(&id) else { return };
         let wanted = now + wait.saturating_sub(DEADLINE_MARGIN);
         let deadline = self.0.closing.get().map_or(wanted, |last| wanted.min(last));
+        // Danger: an answer that came early may still be passed on, though its request is settled.
+        ticket.deadline.set(self.0.clock.instant(deadline));
+        let Some(open) = core.requests.get_mut(&id) else { return };
         let before = std::mem::replace(&mut open.deadline, deadline);
-        open.last.set(self.0.clock.instant(deadline));
         open.whole = now;
         core.timers.remove(&(before, Due::Deadline(id)));
         core.timers.insert((deadline, Due::Deadline(id)));
--- a/node/src/handover.rs
+++ b/node/src/handover.rs
@@ -140,17 +140,25 @@
         self.peers.borrow().values().for_each(|o| drop(o.tell.send(line.clone())));
     }
 
-    /// Tells another process what this one leaves, and ends all talk once that is written. Danger: where two are
-    /// told, both add it: the one that goes on after this one is, or else the one that came last.
-    pub async fn end(&self) {
-        let mut peers = std::mem::take(&mut *self.peers.borrow_mut());
+    /// Tells another process what this one leaves. Danger: where two are told, both add it: the one that goes on after
+    /// this one is, or else the one that came last.
+    pub fn hand_over(&self) {
+        let peers = self.peers.borrow();
         let successor = self.successor.get();
-        let heir = peers.iter().max_by_key(|(id, o)| (successor == Some(**id), o.heard, **id));
-        let Some(heir) = heir.map(|(id, _)| *id).and_then(|id| peers.remove(&id)) else { return };
-        drop(heir.tell.send(line(&Message::Spent(self.driver.spent()))));
-        // The writer that has nothing left to write ends.
-        drop(heir.tell);
-        let _ = timeout(FLUSH_TIMEOUT, heir.writer).await;
+        let heir = peers.iter().max_by_key(|(id, peer)| (successor == Some(**id), peer.heard, **id));
+        if let Some((_, heir)) = heir {
+            drop(heir.tell.send(line(&Message::Spent(self.driver.spent()))));
+        }
+    }
+
+    /// Ends all talk once everything that was said is written.
+    pub async fn end(&self) {
+        let peers = std::mem::take(&mut *self.peers.borrow_mut());
+        // A writer that has nothing left to write ends.
+        let writers: Vec<_> = peers.into_values().map(|peer| peer.writer).collect();
+        for writer in writers {
+            let _ = timeout(FLUSH_TIMEOUT, writer).await;
+        }
     }
 
     async fn meet(self: &Rc<Self>, path: &Path) -> Result<(), String> {
--- a/node/src/meter.rs
+++ b/node/src/meter.rs
@@ -66,6 +66,8 @@
     ahead: RefCell<ReadAhead>,
     read: Cell<u64>,
     written: Cell<u64>,
+    /// The socket took no more at the last write: its user holds bytes that are still to be written.
+    write_blocked: Cell<bool>,
     /// What has been read since `listen`, up to the end of a head; for those who want it.
     head: RefCell<Option<Vec<u8>>>,
     /// Told once this much has been written: the request that goes out is whole then.
@@ -76,7 +78,15 @@
     pub fn new(stream: TcpStream) -> Rc<Self> {
         let (ahead, head, goal) = (RefCell::default(), RefCell::default(), RefCell::default());
         let stream = RefCell::new(Some(Rc::new(stream)));
-        Rc::new(Meter { stream, ahead, read: Cell::new(0), written: Cell::new(0), head, goal })
+        Rc::new(Meter {
+            stream,
+            ahead,
+            read: Cell::new(0),
+            written: Cell::new(0),
+            write_blocked: Cell::new(false),
+            head,
+            goal,
+        })
     }
 
     /// The socket, as long as it is open on this side.
@@ -99,6 +109,11 @@
         self.written.get()
     }
 
+    /// Whether the socket's user waits to write.
+    pub fn write_blocked(&self) -> bool {
+        self.write_blocked.get()
+    }
+
     /// Counts what is written once there is so much of it.
     pub fn aim(&self, at: u64, tries: Rc<Cell<u64>>) {
         if self.written.get() >= at {
@@ -245,6 +260,7 @@
 
 impl Metered {
     fn note(&self, done: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        self.0.write_blocked.set(done.is_pending());
         if let Poll::Ready(Ok(n)) = done {
             self.0.written.set(self.0.written.get() + n as u64);
             let mut goal = self.0.goal.borrow_mut();
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -27,6 +27,8 @@
 /// Where another process serves, the list is waited for so long before this one does.
 const FIRST_LIST: Duration = Duration::from_millis(1_500);
 const LAST_BYTES: Duration = Duration::from_millis(200);
+/// How often an ending process looks whether it is done.
+const END_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Runs until the process is told to end; the error is one plain line.
 pub fn run() -> Result<(), String> {
@@ -111,9 +113,7 @@
     }
     // Danger: the front goes on opening connections for a while, and what comes on them is taken.
     tokio::time::sleep(STILL_ACCEPT).await;
-    // What a backend is still giving is passed on to the end, or as far as SIGKILL lets it.
-    let in_time = || began.elapsed() < last_answer + LAST_BYTES || server.flowing();
-    while in_time() {
+    while began.elapsed() < last_answer + LAST_BYTES {
         if driver.idle() && server.empty() {
             if accept.is_finished() {
                 break;
@@ -127,14 +127,23 @@
         server.close_idle(idle);
         // Danger: an answer that never ends would hold this process until SIGKILL, and its client for longer.
         if began.elapsed() >= last_answer {
-            server.cut_stuck(LAST_BYTES);
+            server.cut_unproven(LAST_BYTES);
         }
-        tokio::time::sleep(Duration::from_millis(20)).await;
+        tokio::time::sleep(END_INTERVAL).await;
     }
     // Danger: what is turned away after the last words is added by nobody.
     if others.paired() {
         counter.end(began + last_answer + LAST_BYTES).await;
     }
+    // All requests are settled. Danger: the next process waits for what this one spent, and SIGKILL may come first
+    // where an answer takes long.
+    others.hand_over();
+    // What a backend is still giving is passed on to the end, or as far as SIGKILL lets it.
+    while server.answering() {
+        server.cut_unproven(LAST_BYTES);
+        server.close_idle(Duration::ZERO);
+        tokio::time::sleep(END_INTERVAL).await;
+    }
     others.end().await;
     // Tasks that are left hold nothing that is owed; they end with the process.
     std::process::exit(0);
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -95,15 +95,16 @@
     }
 
     /// Whether an answer is on its way.
-    pub fn flowing(&self) -> bool {
-        self.connections.borrow().values().any(|c| c.phase() == Phase::Reply)
+    pub fn answering(&self) -> bool {
+        self.connections.borrow().values().any(|c| c.answering())
     }
 
-    /// Breaks off the answers that have stood still for so long.
-    pub fn cut_stuck(&self, for_long: Duration) {
+    /// Ends the answers that are not known to be long and of which nothing has come for so long: they never may end.
+    /// A long one goes on for as long as its backend sends, and its client may take it slowly.
+    pub fn cut_unproven(&self, for_long: Duration) {
         let connections = self.connections.borrow();
-        let replies = connections.values().filter(|c| c.phase() == Phase::Reply);
-        replies.filter(|c| c.stuck(for_long)).for_each(|c| c.cut(CutReason::ProcessEnded));
+        let stopped = connections.values().filter(|c| c.unproven_answer_stopped(for_long));
+        stopped.for_each(|c| c.cut(CutReason::ProcessEnded));
     }
 
     /// Connections held.
@@ -121,7 +122,8 @@
         let connections = self.connections.borrow();
         let idle = connections.values().filter(|c| matches!(c.phase(), Phase::New | Phase::Idle));
         let idle = idle.filter(|c| c.age() >= for_long.max(ABOUT_TO_ASK));
-        idle.filter(|c| c.nothing_begun()).for_each(|c| c.dismiss());
+        let idle = idle.filter(|c| !c.answering() && c.nothing_begun());
+        idle.for_each(|c| c.dismiss());
     }
 
     /// Accepts until it is told that it was the last. Danger: a connection that has come is owed an answer, also
@@ -223,9 +225,15 @@
                     Phase::Body | Phase::Work if client.meter.peer_closed() => {
                         client.cut(CutReason::ClientClosed)
                     }
-                    Phase::Reply if client.stuck(CLIENT_STOPPED) => client.cut(CutReason::ClientStopped),
+                    Phase::Reply if client.uploading.get() && client.overdue() => {
+                        client.cut(CutReason::RequestTooSlow)
+                    }
+                    _ if client.answering() && client.client_stopped(CLIENT_STOPPED) => {
+                        client.cut(CutReason::ClientStopped)
+                    }
                     Phase::Idle if !client.untouched() => client.enter(Phase::Coming),
-                    // An answer that is not read either.
+                    // The end of an answer that its client takes slowly is still on its way.
+                    Phase::Idle if client.answering() => {}
                     Phase::Idle if age >= 2 * IDLE_TIMEOUT => client.cut(CutReason::ClientStopped),
                     Phase::Idle if age >= IDLE_TIMEOUT && client.meter.quiet() => client.dismiss(),
                     _ => {}
--- a/node/src/server/connection.rs
+++ b/node/src/server/connection.rs
@@ -1,5 +1,7 @@
 //! A client's connection: what it is doing, and how long it may take for that.
 
+use crate::body::answer_limit::Extent;
+use crate::body::download::Progress;
 use crate::body::interruption::{AnswerInterruption, UploadInterruption};
 use crate::body::upload::Backpressure;
 use crate::meter::Meter;
@@ -102,8 +104,12 @@
     read_before: Cell<u64>,
     /// What had been written when that last changed, and when.
     write_progress: Cell<(u64, Instant)>,
+    /// What has come of the answer that it passes on.
+    pub progress: Cell<Option<Progress>>,
     /// How long its body was held up by this side.
     pub backpressure: Rc<Backpressure>,
+    /// Its request's body is still coming, though the answer is known.
+    pub uploading: Cell<bool>,
     /// Told to end between requests.
     pub close: Notify,
     /// It has been told to make way.
@@ -122,6 +128,8 @@
             read_before: Cell::new(0),
             write_progress: Cell::new((0, Instant::now())),
             backpressure: Rc::default(),
+            uploading: Cell::new(false),
+            progress: Cell::new(None),
             close: Notify::new(),
             leaving: Cell::new(false),
             cut_reason: Cell::new(None),
@@ -156,7 +164,8 @@
         self.phase.set(phase);
         self.since.set(Instant::now());
         self.read_before.set(self.meter.read());
-        if phase != Phase::Work {
+        // What holds up a body goes on to while its request is in work, or is answered early.
+        if !matches!(phase, Phase::Work | Phase::Reply) {
             self.backpressure.reset();
         }
         if phase == Phase::Idle {
@@ -174,10 +183,12 @@
         self.meter.read().saturating_sub(self.read_before.get())
     }
 
-    /// Whether its request should have come by now; what this side holds up is not its fault.
+    /// Whether its request should have come by now; what this side holds up is not its fault, nor what has come and
+    /// has not been read. While the answer before is still on its way, nothing is due.
     pub fn overdue(&self) -> bool {
         let by_bytes = Duration::from_secs_f64(self.read_in_phase() as f64 / MIN_UPLOAD_RATE);
-        self.age() >= REQUEST_TIMEOUT + by_bytes + self.backpressure.paused()
+        let late = self.age() >= REQUEST_TIMEOUT + by_bytes + self.backpressure.paused();
+        late && !self.meter.write_blocked() && self.meter.quiet()
     }
 
     /// Begins to watch how an answer is taken.
@@ -185,13 +196,25 @@
         self.write_progress.set((self.meter.written(), Instant::now()));
     }
 
-    /// Whether its answer has stood still for so long.
-    pub fn stuck(&self, for_long: Duration) -> bool {
+    /// Whether an answer is on its way: one that is passed on, or one that its client has not taken yet.
+    pub fn answering(&self) -> bool {
+        self.phase() == Phase::Reply || self.meter.write_blocked()
+    }
+
+    /// Whether its client has taken nothing for so long of what is to be written.
+    pub fn client_stopped(&self, for_long: Duration) -> bool {
         let (written, at) = self.write_progress.get();
-        if self.meter.written() != written {
-            self.write_progress.set((self.meter.written(), Instant::now()));
+        if self.meter.written() != written || !self.meter.write_blocked() {
+            self.begin_answer();
+            return false;
         }
-        self.meter.written() == written && at.elapsed() >= for_long
+        at.elapsed() >= for_long
+    }
+
+    /// Whether it passes on an answer that is not known to be long, and of which nothing has come for so long.
+    pub fn unproven_answer_stopped(&self, for_long: Duration) -> bool {
+        let unproven = self.progress.get().filter(|progress| progress.extent != Extent::Long);
+        self.phase() == Phase::Reply && unproven.is_some_and(|p| p.last_received.elapsed() >= for_long)
     }
 
     /// Its request waits for an answer, or for more of itself.
@@ -219,6 +242,7 @@
         let age = now - self.since.get();
         match self.phase() {
             Phase::New if self.untouched() => (age >= ABOUT_TO_ASK).then_some(EvictionRank::Silent),
+            Phase::Idle | Phase::Coming if self.meter.write_blocked() => None,
             Phase::Idle if self.untouched() && age >= ANSWER_SETTLES => Some(EvictionRank::Idle),
             Phase::New | Phase::Coming if age >= SLOW_REQUEST => Some(EvictionRank::SlowHead),
             Phase::Body if age >= SLOW_REQUEST => Some(EvictionRank::SlowBody),
--- a/node/src/server/handler.rs
+++ b/node/src/server/handler.rs
@@ -191,26 +191,30 @@
                 None
             }
         };
-        let (reply, taken) = match early {
-            Some(reply) => {
-                upload.interrupt(UploadInterruption::AnsweredEarly);
-                (reply, self.figures.take())
-            }
-            None => {
-                upload.complete();
-                let taken = self.uploaded(&ticket, wait, client);
-                (ticket.answer().await, taken)
-            }
+        let Some(reply) = early else {
+            upload.complete();
+            client.enter(Phase::Work);
+            let taken = self.figures.take();
+            self.driver.uploaded(&ticket, wait);
+            return self.reply(ticket.answer().await, request, taken, client).await;
         };
-        tokio::task::spawn_local(async move { source.drain().await });
-        self.reply(reply, request, taken, client).await
+        upload.interrupt(UploadInterruption::AnsweredEarly);
+        self.read_on(source, ticket, wait, client);
+        self.reply(reply, request, self.figures.take(), client).await
     }
 
-    fn uploaded(&self, ticket: &Ticket, wait: Micros, client: &ClientConnection) -> Taken {
-        client.enter(Phase::Work);
-        let taken = self.figures.take();
-        self.driver.uploaded(ticket, wait);
-        taken
+    /// Reads the rest of a body whose request has its answer: an answer that is passed on has its time from the end.
+    fn read_on(&self, source: Rc<UploadSource>, ticket: Ticket, wait: Micros, client: &Rc<ClientConnection>) {
+        client.uploading.set(true);
+        // Danger: who holds the connection keeps its socket open.
+        let (driver, client) = (self.driver.clone(), Rc::downgrade(client));
+        tokio::task::spawn_local(async move {
+            source.drain().await;
+            if let Some(client) = client.upgrade() {
+                client.uploading.set(false);
+            }
+            driver.uploaded(&ticket, wait);
+        });
     }
 
     /// The answer to a client for what came of its request.
--- a/node/src/server/transfer.rs
+++ b/node/src/server/transfer.rs
@@ -41,6 +41,7 @@
         request: RequestLabel,
         taken: Taken,
     ) -> Self {
+        client.progress.set(Some(download.progress()));
         StreamedAnswer { download, client, figures, request, began: Instant::now(), taken: Some(taken) }
     }
 
@@ -81,6 +82,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerInterruption>>> {
         let next = Pin::new(&mut self.download).poll_frame(cx);
+        self.client.progress.set(Some(self.download.progress()));
         match &next {
             Poll::Ready(Some(Err(why))) => self.interrupt(*why),
             Poll::Ready(None) => self.complete(),
@@ -102,6 +104,7 @@
 impl Drop for StreamedAnswer {
     fn drop(&mut self) {
         self.interrupt(self.client.cut_reason().of_answer());
+        self.client.progress.set(None);
         self.client.enter(Phase::Idle);
     }
 }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -86,6 +86,8 @@
     AnswerAndClose(String),
     /// Writes each piece so many milliseconds after the one before, then goes on.
     Pieces(Vec<(u64, String)>),
+    /// The same, and ends its sending.
+    PiecesAndClose(Vec<(u64, String)>),
     /// The same, and resets the connection.
     PiecesAndReset(Vec<(u64, String)>),
 }
@@ -218,6 +220,10 @@
                 let _ = out.shutdown(std::net::Shutdown::Write);
             }
             Reaction::Pieces(pieces) => write(&out, pieces),
+            Reaction::PiecesAndClose(pieces) => {
+                write(&out, pieces);
+                let _ = out.shutdown(std::net::Shutdown::Write);
+            }
             Reaction::PiecesAndReset(pieces) => {
                 write(&out, pieces);
                 SockRef::from(&out).set_linger(Some(Duration::ZERO)).expect("an option");
--- a/node/tests/handover.rs
+++ b/node/tests/handover.rs
@@ -300,3 +300,34 @@
     scene.away.store(0, Ordering::SeqCst);
     scene.numbers.come_to(9.0);
 }
+
+/// Guards against units that wait for the end of a long answer to be handed over, and are lost as SIGKILL comes first.
+#[test]
+fn units_are_handed_over_before_a_long_answer_ends() {
+    let pieces = [(0, "HTTP/1.1 200 OK\r\ncontent-length: 200000\r\n\r\n".to_owned() + &"z".repeat(100_000))];
+    let pieces: Vec<_> = pieces.into_iter().chain((0..200).map(|_| (100, "z".repeat(500)))).collect();
+    let backend = Fake::start(move |seen| match seen.path().ends_with('9') {
+        true => Reaction::Pieces(pieces.clone()),
+        false => ok("x"),
+    });
+    let scene = Scene::new(&[&backend]);
+    let old = scene.process();
+    let (mut client, mut long) = (old.client(), old.client());
+    let mut ask = |customer| assert_eq!(client.ask(&request("consulta", customer, 3000)).status(), 200);
+    ask(1);
+    scene.numbers.come_to(1.0);
+    let _new = scene.process();
+    scene.away.store(1, Ordering::SeqCst);
+    long.send(&request("orden-nueva", 9, 5000));
+    assert_eq!(long.line(), "HTTP/1.1 200 OK");
+    (1..9).for_each(&mut ask);
+    let told = Instant::now();
+    old.terminate();
+    // SIGKILL comes no sooner.
+    std::thread::sleep(Duration::from_millis(3_700).saturating_sub(told.elapsed()));
+    old.signal("-KILL");
+    scene.away.store(0, Ordering::SeqCst);
+    scene.numbers.come_to(10.0);
+    std::thread::sleep(Duration::from_millis(1_500));
+    assert_eq!(scene.numbers.sum(), 10.0);
+}
--- a/node/tests/restart.rs
+++ b/node/tests/restart.rs
@@ -172,3 +172,32 @@
     ends_well(&mut scene.gateway, told);
     assert_eq!(backends.iter().map(|b| b.seen.try_iter().count()).sum::<usize>(), 0, "sent elsewhere");
 }
+
+/// Guards against a long answer cut off by the end of its process: one whose backend rests between its pieces, and one
+/// whose client reads nothing for a while, both for longer than any short answer may still take.
+#[test]
+fn long_answers_flow_on_past_the_last_moment_for_short_ones() {
+    const LENGTH: usize = 24 << 20;
+    let piece = "z".repeat(20_000);
+    let head = |length: usize| format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
+    let mut pieces = vec![(0, head(160_000))];
+    pieces.extend((0..8).map(|_| (700, piece.clone())));
+    let rests = Fake::start(move |_| Reaction::Pieces(pieces.clone()));
+    let at_once = Fake::start(move |_| Reaction::Answer(head(LENGTH) + &"z".repeat(LENGTH)));
+    for (backend, length) in [(rests, 160_000), (at_once, LENGTH)] {
+        let mut scene = scene(&Start::default(), one(&backend));
+        let mut client = scene.gateway.client();
+        client.send(&request("orden-nueva", 7, 5000));
+        assert_eq!(client.line(), "HTTP/1.1 200 OK");
+        let told = Instant::now();
+        scene.gateway.terminate();
+        if length == LENGTH {
+            // SIGKILL may come by then, and need not.
+            std::thread::sleep(KILL + Duration::from_millis(300));
+        }
+        while !client.line().is_empty() {}
+        assert_eq!(client.take(length).len(), length);
+        assert!(scene.gateway.wait().success());
+        assert!(told.elapsed() > KILL, "{:?}", told.elapsed());
+    }
+}
