--- a/node/tests/interruptions.rs
+++ b/node/tests/interruptions.rs
@@ -12,9 +12,13 @@
 }
 
 fn scene(backend: &Fake) -> Scene {
+    scene_with(&Start::default(), backend)
+}
+
+fn scene_with(start: &Start, backend: &Fake) -> Scene {
     let entries = vec![entry("s-0", backend.address, "SERVING")];
     let (discovery, counter) = (Discovery::start(entries), counter());
-    let gateway = Gateway::start(&Start::default(), discovery.fake.address, counter.address);
+    let gateway = Gateway::start(start, discovery.fake.address, counter.address);
     discovery.settled();
     Scene { gateway, _discovery: discovery, _counter: counter }
 }
@@ -31,7 +35,10 @@
         let counts = count();
         let all: u64 = counts.as_object().expect("counts").values().filter_map(|n| n.as_u64()).sum();
         assert_eq!(all, 1, "{counts}");
-        let kind = if figure.starts_with("answers") { "answer" } else { "upload" };
+        self.expect_line(if figure.starts_with("answers") { "answer" } else { "upload" }, why);
+    }
+
+    fn expect_line(&self, kind: &str, why: &str) {
         let line = format!("{kind} interrupted: {why}; request \"id-");
         assert!(self.gateway.log().contains(&line), "{line:?} is not in {}", self.gateway.log());
     }
@@ -102,6 +109,63 @@
     }
 }
 
+#[test]
+fn an_answer_that_trickles() {
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n".to_owned();
+    let bytes = (0..200).map(|_| (100, "1\r\nz\r\n".to_owned()));
+    let pieces: Vec<_> = [(0, head)].into_iter().chain(bytes).collect();
+    let backend = Fake::start(move |_| Reaction::Pieces(pieces.clone()));
+    let scene = scene(&backend);
+    let mut client = scene.gateway.client();
+    let began = Instant::now();
+    client.send(&request("consulta", 7, 600));
+    assert!(client.answer().is_none());
+    assert!(began.elapsed() > Duration::from_secs(10), "{:?}", began.elapsed());
+    scene.expect("answers_interrupted", "too_slow");
+}
+
+#[test]
+fn an_answer_of_which_the_client_takes_nothing() {
+    let length = 32 << 20;
+    let backend = Fake::start(move |_| ok(&"z".repeat(length)));
+    let scene = scene(&backend);
+    let mut client = scene.gateway.client();
+    client.send(&request("consulta", 7, 2000));
+    scene.expect("answers_interrupted", "client_stopped");
+}
+
+#[test]
+fn an_answer_that_does_not_end_as_the_process_does() {
+    let text = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n";
+    let backend = Fake::start(move |_| Reaction::Answer(text.to_owned()));
+    let mut scene = scene(&backend);
+    let mut client = scene.gateway.client();
+    client.send(&request("orden-nueva", 7, 5000));
+    assert_eq!(client.line(), "HTTP/1.1 200 OK");
+    scene.gateway.terminate();
+    assert!(scene.gateway.wait().success());
+    scene.expect_line("answer", "process_ended");
+}
+
+#[test]
+fn an_upload_that_makes_way() {
+    let backend = Fake::start(|_| ok("x"));
+    let scene = scene_with(&Start { sockets: 100, ..Start::default() }, &backend);
+    let whole = request("orden-nueva", 7, 2000);
+    let mut clients = Vec::new();
+    let until = Instant::now() + LONG;
+    let made_way = || scene.gateway.figures()["uploads_interrupted"]["made_way"].as_u64();
+    // Slow bodies, one more every now and then, until one has to leave for the next.
+    while made_way() == Some(0) {
+        assert!(Instant::now() < until && clients.len() < 100, "{}", scene.gateway.log());
+        let mut client = scene.gateway.client();
+        client.push(&whole[..whole.len() - 2]);
+        clients.push(client);
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    scene.expect_line("upload", "made_way");
+}
+
 #[test]
 fn an_upload_whose_client_leaves() {
     let backend = Fake::start(|_| ok("x"));
@@ -109,7 +173,7 @@
     let mut client = scene.gateway.client();
     let whole = request("orden-nueva", 7, 2000);
     client.send(&whole[..whole.len() - 2]);
-    // The head has come once the figures count it as one in the gateway's hands: then the client goes.
+    // Nothing tells that the head has come; this is long for that.
     std::thread::sleep(Duration::from_millis(50));
     client.leave(Leave::Close);
     scene.expect("uploads_interrupted", "client_broke");
