Tell the counter of a lone process's units before its end

Cause: at SIGTERM a process with none beside it ended as its requests were answered, 0.7 s later at the soonest, and the units that waited for their sync, about a second after they were spent, were lost for the fleet's quotas: in the new test of node/tests/restart.rs 20 of 20.

Change: Gateway::flush makes all syncs with unsent units due; an ending process calls it until the counter has been told, within what the counter is seen to bear, for 0.5 s and up to the last moment for answers at most.

--- a/node/src/counter.rs
+++ b/node/src/counter.rs
@@ -100,11 +100,16 @@
     pub async fn end(&self, until: Instant) {
         self.ended.set(true);
         let until = until.min(Instant::now() + self.limit);
-        while self.in_flight.get() > 0 && Instant::now() < until {
+        while self.busy() && Instant::now() < until {
             sleep(TURN).await;
         }
     }
 
+    /// Whether calls are out whose result has not been told.
+    pub fn busy(&self) -> bool {
+        self.in_flight.get() > 0
+    }
+
     /// Starts a call.
     pub fn call<R>(self: &Rc<Self>, results: R, clock: Clock, name: CountName, amount: f64, life: Micros)
     where
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -279,6 +279,16 @@
         self.0.core.borrow_mut().gateway.spent()
     }
 
+    /// Whether units are to be told to the counter still.
+    pub fn has_unsent(&self) -> bool {
+        self.0.core.borrow().gateway.has_unsent()
+    }
+
+    /// Whether units are told to a counter at all.
+    pub fn counts(&self) -> bool {
+        self.0.module.counter.is_some()
+    }
+
     pub fn inherit(&self, legacy: Legacy) {
         self.feed(Event::Inherited(Box::new(legacy)));
     }
--- a/node/src/driver/actions.rs
+++ b/node/src/driver/actions.rs
@@ -6,6 +6,15 @@
 use caperwind::{Action, AttemptIx, BackendId, Ended, Event, Micros, Outcome, RequestId};
 
 impl Shared {
+    /// Tells the counter of as many units as it bears: the process ends.
+    pub fn flush(&self) {
+        let mut core = self.0.core.borrow_mut();
+        let (now, mut acts) = (self.0.clock.now(), Vec::new());
+        core.gateway.flush(now, &mut acts);
+        acts.into_iter().for_each(|action| self.act(&mut core, now, action));
+        self.run(&mut core, now);
+    }
+
     /// Hands waiting events to the module and carries out what it says, until there are none.
     pub(super) fn run(&self, core: &mut Core, now: Micros) {
         let next = core.timers.first().map(|t| t.0);
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -13,6 +13,7 @@
 use tokio::runtime::{Builder, LocalOptions};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
+use tokio::time::{sleep, timeout, Instant};
 
 /// After SIGTERM: how long new connections are still taken (they go on coming for up to 0.4 s), until when
 /// connections are closed by an answer, if they have not been idle for long, and how long what was taken may
@@ -27,6 +28,9 @@
 /// Where another process serves, the list is waited for so long before this one does.
 const FIRST_LIST: Duration = Duration::from_millis(1_500);
 const LAST_BYTES: Duration = Duration::from_millis(200);
+/// Units that the counter has not been told of are given so long to get there.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
+const FLUSH_INTERVAL: Duration = Duration::from_millis(5);
 /// How often an ending process looks whether it is done.
 const END_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -80,7 +84,7 @@
     let accept = tokio::task::spawn_local(async move {
         // Another process serves: there is time to hear what discovery says now.
         if serving.paired() {
-            let _ = tokio::time::timeout(FIRST_LIST, first.first_list()).await;
+            let _ = timeout(FIRST_LIST, first.first_list()).await;
         }
         serving.tell(&Message::Serving);
         accepts.accept(listener, last).await;
@@ -104,7 +108,7 @@
             },
         }
     }
-    let began = tokio::time::Instant::now();
+    let began = Instant::now();
     driver.close_within(last_answer.as_micros() as u64);
     if others.succeeded() {
         // What still comes is the other process's.
@@ -112,7 +116,7 @@
         stop.send_replace(true);
     }
     // Danger: the front goes on opening connections for a while, and what comes on them is taken.
-    tokio::time::sleep(STILL_ACCEPT).await;
+    sleep(STILL_ACCEPT).await;
     while began.elapsed() < last_answer + LAST_BYTES {
         if driver.idle() && server.empty() {
             if accept.is_finished() {
@@ -129,11 +133,14 @@
         if began.elapsed() >= last_answer {
             server.cut_unproven(LAST_BYTES);
         }
-        tokio::time::sleep(END_INTERVAL).await;
+        sleep(END_INTERVAL).await;
     }
-    // Danger: what is turned away after the last words is added by nobody.
+    let settled_by = began + last_answer + LAST_BYTES;
     if others.paired() {
-        counter.end(began + last_answer + LAST_BYTES).await;
+        // Danger: what is turned away after the last words is added by nobody.
+        counter.end(settled_by).await;
+    } else {
+        flush_units(&driver, &counter, settled_by.min(Instant::now() + FLUSH_TIMEOUT)).await;
     }
     // All requests are settled. Danger: the next process waits for what this one spent, and SIGKILL may come first
     // where an answer takes long.
@@ -144,18 +151,29 @@
     std::process::exit(0);
 }
 
+/// Tells the counter of the units that it has not been told of: no other process of this gateway can.
+async fn flush_units(driver: &driver::Shared, counter: &Counter, until: Instant) {
+    while driver.counts() && Instant::now() < until {
+        if !driver.has_unsent() && !counter.busy() {
+            break;
+        }
+        driver.flush();
+        sleep(FLUSH_INTERVAL).await;
+    }
+}
+
 /// Passes on what backends are still giving, to the end or as far as SIGKILL lets it. Each connection closes behind
 /// its answer.
 async fn finish_answers(server: &Server) {
-    let mut last_answered = tokio::time::Instant::now();
+    let mut last_answered = Instant::now();
     while !server.empty() && last_answered.elapsed() < LAST_BYTES {
         server.cut_unproven(LAST_BYTES);
         server.close_behind_answers();
         server.close_idle(Duration::ZERO);
         if server.answering() {
-            last_answered = tokio::time::Instant::now();
+            last_answered = Instant::now();
         }
-        tokio::time::sleep(END_INTERVAL).await;
+        sleep(END_INTERVAL).await;
     }
 }
 
@@ -182,7 +200,7 @@
         }
         // While there is another, what is held here may change at any time.
         let look = if other.is_some() { SHARE } else { Duration::MAX };
-        let _ = tokio::time::timeout(look, held.changed()).await;
+        let _ = timeout(look, held.changed()).await;
     }
 }
 
--- a/node/tests/restart.rs
+++ b/node/tests/restart.rs
@@ -4,6 +4,7 @@
 mod common;
 
 use common::*;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Sender};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
@@ -202,3 +203,32 @@
         assert!(told.elapsed() > KILL, "{:?}", told.elapsed());
     }
 }
+
+/// Guards against units lost with a process that has none beside it: the counter is told of them before the end, also
+/// where it turns calls away for a moment.
+#[test]
+fn units_of_a_lone_process_are_told_before_its_end() {
+    for away in [0, 3] {
+        let backend = Fake::start(|_| ok("x"));
+        let numbers = Numbers::default();
+        let (adds, turned_away) = (numbers.clone(), AtomicUsize::new(0));
+        let counter = Fake::start(move |call| {
+            if turned_away.fetch_add(1, Ordering::SeqCst) < away {
+                return Reaction::Answer(answer("503 No", "", ""));
+            }
+            ok(&adds.add(call))
+        });
+        let discovery = Discovery::start(one(&backend));
+        let start = Start { rate: 100.0, burst: 6000.0, ..Start::default() };
+        let mut gateway = Gateway::start(&start, discovery.fake.address, counter.address);
+        discovery.settled();
+        let mut client = gateway.client();
+        for customer in 0..20 {
+            assert_eq!(client.ask(&request("consulta", customer, 3000)).status(), 200);
+        }
+        let told = Instant::now();
+        gateway.terminate();
+        ends_well(&mut gateway, told);
+        assert_eq!(numbers.sum(), 20.0, "{away} calls turned away");
+    }
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -352,7 +352,7 @@
     }
 
     /// Sends due syncs within what the counter is seen to bear.
-    fn pump_syncs(&mut self) {
+    pub(crate) fn pump_syncs(&mut self) {
         while self.may_call() {
             let Some((at, id)) = self.next_sync() else { break };
             self.sync_queue.remove(&(at, id));
--- a/src/state.rs
+++ b/src/state.rs
@@ -535,6 +535,22 @@
         all
     }
 
+    /// Whether units are known here that the counter has not been told of.
+    pub fn has_unsent(&self) -> bool {
+        self.customers.values().any(|c| c.cur.unsent != 0.0 || c.prev.unsent != 0.0)
+    }
+
+    /// Makes all syncs with unsent units due, as this process ends; appends those that the counter is seen to bear
+    /// now. To be called until none is left.
+    pub fn flush(&mut self, now: Micros, acts: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        let unsent = self.customers.iter().filter(|(_, c)| c.cur.unsent != 0.0 || c.prev.unsent != 0.0);
+        let unsent: Vec<CustomerId> = unsent.map(|(id, _)| *id).collect();
+        unsent.into_iter().for_each(|id| self.schedule(id, 0.0));
+        self.pump_syncs();
+        acts.append(&mut self.acts);
+    }
+
     /// Takes over what answers take, by class and over all.
     pub(crate) fn inherit_latencies(&mut self, classes: Vec<(f64, f64, u32)>, mix: [f64; 2]) {
         for (i, (lat, base, seen)) in classes.into_iter().enumerate().take(self.class_lat.len()) {
