Pass bans and drains on to every process of a gateway, not only the next one

Change: what one of the others says of bans and drains goes on to the rest. Processes stand in a row without a ring, so nothing comes back. Still open: a row whose middle one ends falls apart.

--- a/node/src/handover.rs
+++ b/node/src/handover.rs
@@ -135,9 +135,22 @@
         !self.peers.borrow().is_empty()
     }
 
+    /// Tells all others that this process speaks with.
     pub fn tell(&self, message: &Message) {
+        self.tell_all_but(None, message);
+    }
+
+    /// Passes on what one of the others says. Each process speaks with the one before it and the one after it, in a
+    /// row without a ring, so that what goes away from where it came from reaches each of them once.
+    fn relay(&self, from: u64, message: &Message) {
+        self.tell_all_but(Some(from), message);
+    }
+
+    fn tell_all_but(&self, left_out: Option<u64>, message: &Message) {
         let line = line(message);
-        self.peers.borrow().values().for_each(|o| drop(o.tell.send(line.clone())));
+        let peers = self.peers.borrow();
+        let told = peers.iter().filter(|(id, _)| Some(**id) != left_out);
+        told.for_each(|(_, peer)| drop(peer.tell.send(line.clone())));
     }
 
     /// Tells another process what this one leaves. Danger: where two are told, both add it: the one that goes on after
@@ -252,6 +265,9 @@
 
     fn handle(&self, id: u64, message: Message) {
         self.peers.borrow_mut().entry(id).and_modify(|o| o.heard = true);
+        if let Message::Bar { .. } | Message::Drain { .. } = &message {
+            self.relay(id, &message);
+        }
         match message {
             Message::Serving => self.successor.set(Some(id)),
             Message::Bar { name, out } => self.driver.bar(&name, out),
--- a/node/tests/handover.rs
+++ b/node/tests/handover.rs
@@ -96,6 +96,39 @@
     while old.call("GET /ready").status() != 200 {}
 }
 
+/// Guards against a ban or a drain that reaches the process beside the one that was told, and not the one behind that.
+#[test]
+fn all_of_three_processes_are_told_of_bans_and_drains() {
+    let backends = [Fake::start(|_| ok("0")), Fake::start(|_| ok("1"))];
+    let scene = Scene::new(&[&backends[0], &backends[1]]);
+    let processes: Vec<Gateway> = (0..3).map(|_| scene.process()).collect();
+    let until = Instant::now() + LONG;
+    let skipped = |n: u32| {
+        for process in &processes {
+            while process.figures()["skipped_backends"] != n {
+                assert!(Instant::now() < until, "{} {}", process.figures(), process.log());
+            }
+        }
+    };
+    for (told, taken_back) in [(0, 2), (1, 1), (2, 0)] {
+        assert_eq!(processes[told].call("PUT /backends/disable?id=s-0").status(), 200);
+        skipped(1);
+        assert_eq!(processes[taken_back].call("PUT /backends/enable?id=s-0").status(), 200);
+        skipped(0);
+    }
+    let ready = |status: u16| {
+        for process in &processes {
+            while process.call("GET /ready").status() != status {
+                assert!(Instant::now() < until, "{}", process.log());
+            }
+        }
+    };
+    assert_eq!(processes[2].call("PUT /drain").status(), 200);
+    ready(503);
+    assert_eq!(processes[0].call("PUT /undrain").status(), 200);
+    ready(200);
+}
+
 /// Guards against a start that fails for what another process left, or does not say.
 #[test]
 fn odd_state_does_not_keep_a_process_from_its_start() {
