--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -628,6 +628,29 @@
     }
 }
 
+/// Discovery's entries for backends that serve: `s-0`, `s-1` and so on.
+pub fn serving(backends: &[&Fake]) -> Vec<String> {
+    let backends = backends.iter().enumerate();
+    backends.map(|(i, b)| entry(&format!("s-{i}"), b.address, "SERVING")).collect()
+}
+
+/// A gateway that serves, with its discovery and its counter.
+pub struct Scene {
+    pub gateway: Gateway,
+    pub discovery: Discovery,
+    pub counter: Fake,
+}
+
+impl Scene {
+    /// Starts a gateway that has been told this list, and waits until it has taken it in.
+    pub fn new(start: &Start, entries: Vec<String>, counter: Fake) -> Self {
+        let discovery = Discovery::start(entries);
+        let gateway = Gateway::start(start, discovery.fake.address, counter.address);
+        discovery.settled();
+        Scene { gateway, discovery, counter }
+    }
+}
+
 /// How a client leaves.
 #[derive(Debug, Clone, Copy)]
 pub enum Leave {
@@ -715,6 +738,11 @@
         Some(come)
     }
 
+    /// Reads all that comes until the connection ends, in whatever way.
+    pub fn read_to_end(&mut self) {
+        while self.rest().is_some_and(|rest| !rest.is_empty()) {}
+    }
+
     pub fn answer(&mut self) -> Option<Seen> {
         read_message(&mut self.from, 0)
     }
--- a/node/tests/connections.rs
+++ b/node/tests/connections.rs
@@ -8,18 +8,8 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-struct Scene {
-    gateway: Gateway,
-    discovery: Discovery,
-    _counter: Fake,
-}
-
 fn scene(entries: Vec<String>, changes: &'static [(&'static str, &'static str)]) -> Scene {
-    let (discovery, counter) = (Discovery::start(entries), counter());
-    let start = Start { changes, ..Start::default() };
-    let gateway = Gateway::start(&start, discovery.fake.address, counter.address);
-    discovery.settled();
-    Scene { gateway, discovery, _counter: counter }
+    Scene::new(&Start { changes, ..Start::default() }, entries, counter())
 }
 
 /// A backend that answers a request with a name once it is told to.
@@ -41,7 +31,7 @@
 fn a_connection_from_before_a_restart_is_not_used_after_it() {
     for moves in [false, true] {
         let ((old, go), new) = (holding("old"), Fake::start(|_| ok("new")));
-        let scene = scene(vec![entry("s-0", old.address, "SERVING")], &[]);
+        let scene = scene(serving(&[&old]), &[]);
         let (mut first, mut second) = (scene.gateway.client(), scene.gateway.client());
         first.send(&request("orden-nueva", 7, 3000));
         assert_eq!(old.next().conn, 0);
@@ -112,7 +102,7 @@
         let second = before.filter(|(_, at)| at.elapsed() < LATE).map(|(id, _)| answer("200 OK", "", &id));
         Reaction::Answer(second.unwrap_or_default() + &answer("200 OK", "", &id))
     });
-    let scene = scene(vec![entry("s-0", backend.address, "SERVING")], &[]);
+    let scene = scene(serving(&[&backend]), &[]);
     let mut client = scene.gateway.client();
     for _ in 0..40 {
         let text = request("orden-nueva", 7, 3000);
--- a/node/tests/flow.rs
+++ b/node/tests/flow.rs
@@ -7,13 +7,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-fn gateway(backends: &[&Fake], memory_mb: u32) -> (Gateway, Discovery, Fake) {
-    let entries = backends.iter().enumerate().map(|(i, b)| entry(&format!("s-{i}"), b.address, "SERVING"));
-    let (discovery, counter) = (Discovery::start(entries.collect()), counter());
-    let start = Start { memory_mb, ..Start::default() };
-    let gateway = Gateway::start(&start, discovery.fake.address, counter.address);
-    discovery.settled();
-    (gateway, discovery, counter)
+fn gateway(backends: &[&Fake], memory_mb: u32) -> Scene {
+    Scene::new(&Start { memory_mb, ..Start::default() }, serving(backends), counter())
 }
 
 const LARGE: usize = 24 << 20;
@@ -29,15 +24,15 @@
 fn long_bodies_go_through_in_little_memory() {
     let answer = "z".repeat(LARGE);
     let backend = Fake::start(move |_| ok(&answer));
-    let (gateway, _discovery, _counter) = gateway(&[&backend], 32);
+    let scene = gateway(&[&backend], 32);
     let text = form(&format!("content-length: {LARGE}"), &"y".repeat(LARGE));
-    let answer = gateway.client().ask(&text);
+    let answer = scene.gateway.client().ask(&text);
     assert_eq!((answer.status(), answer.body.len()), (200, LARGE));
     assert!(answer.body.iter().all(|b| *b == b'z'));
     let seen = backend.next();
     assert!(seen.body.len() == LARGE && seen.body.iter().all(|b| *b == b'y'));
-    assert!(gateway.memory_mb() < 16, "{} MB", gateway.memory_mb());
-    let figures = gateway.figures();
+    assert!(scene.gateway.memory_mb() < 16, "{} MB", scene.gateway.memory_mb());
+    let figures = scene.gateway.figures();
     assert_eq!((&figures["passed"]["orden-nueva"], &figures["upstream_tries"]), (&1.into(), &1.into()));
 }
 
@@ -46,28 +41,28 @@
 fn an_answer_waits_for_its_client() {
     let answer = "z".repeat(LARGE);
     let backend = Fake::start(move |_| ok(&answer));
-    let (gateway, _discovery, _counter) = gateway(&[&backend], 32);
-    let mut slow: Vec<Client> = (0..4).map(|_| gateway.client()).collect();
+    let scene = gateway(&[&backend], 32);
+    let mut slow: Vec<Client> = (0..4).map(|_| scene.gateway.client()).collect();
     slow.iter_mut().enumerate().for_each(|(n, c)| c.send(&request("consulta", n as u64, 2000)));
     for client in &mut slow {
         assert_eq!(client.line(), "HTTP/1.1 200 OK");
     }
-    assert_eq!(gateway.figures()["in_progress"], 4);
-    assert!(gateway.memory_mb() < 16, "{} MB", gateway.memory_mb());
+    assert_eq!(scene.gateway.figures()["in_progress"], 4);
+    assert!(scene.gateway.memory_mb() < 16, "{} MB", scene.gateway.memory_mb());
     for client in &mut slow {
         while !client.line().is_empty() {}
         assert!(client.take(LARGE).iter().all(|b| *b == b'z'));
     }
-    while gateway.figures()["in_progress"] != 0 {}
-    assert_eq!(gateway.figures()["passed"]["consulta"], 4);
+    while scene.gateway.figures()["in_progress"] != 0 {}
+    assert_eq!(scene.gateway.figures()["passed"]["consulta"], 4);
 }
 
 /// Guards against proper requests turned away for their form.
 #[test]
 fn every_form_of_a_body_is_served() {
     let backend = Fake::start(|_| ok("x"));
-    let (gateway, _discovery, _counter) = gateway(&[&backend], 32);
-    let mut client = gateway.client();
+    let scene = gateway(&[&backend], 32);
+    let mut client = scene.gateway.client();
     let mut chunks = String::new();
     (0..40).for_each(|_| chunks.push_str(&format!("1000;ext=1\r\n{}\r\n", "y".repeat(4096))));
     let cases = [
@@ -117,8 +112,8 @@
         Reaction::Answer(answer("503 Service Unavailable", "x-unprocessed: 1\r\n", ""))
     };
     let backends = [Fake::start(full.clone()), Fake::start(full)];
-    let (gateway, _discovery, _counter) = gateway(&[&backends[0], &backends[1]], 32);
-    let mut client = gateway.client();
+    let scene = gateway(&[&backends[0], &backends[1]], 32);
+    let mut client = scene.gateway.client();
     let refused = client.ask(&form(&format!("content-length: {LARGE}"), &"y".repeat(LARGE)));
     assert!(refused.status() == 503 && refused.header("retry-after").is_some(), "{refused:?}");
     assert_eq!(count.load(Ordering::SeqCst), 1);
@@ -138,11 +133,11 @@
     ];
     for text in texts {
         let backend = Fake::start(move |_| Reaction::AnswerAndClose(text.clone()));
-        let (gateway, _discovery, _counter) = gateway(&[&backend], 32);
-        let mut client = gateway.client();
+        let scene = gateway(&[&backend], 32);
+        let mut client = scene.gateway.client();
         client.send(&request("consulta", 1, 2000));
         assert!(client.answer().is_none());
-        while gateway.figures()["bad_gateway"]["consulta"] != 1 {}
+        while scene.gateway.figures()["bad_gateway"]["consulta"] != 1 {}
     }
 }
 
@@ -164,9 +159,9 @@
 #[test]
 fn an_answer_that_does_not_end_breaks_off_in_the_request_s_time() {
     let backend = Fake::start(|_| Reaction::Answer(ENDLESS.to_owned()));
-    let (gateway, _discovery, _counter) = gateway(&[&backend], 64);
+    let scene = gateway(&[&backend], 64);
     let began = Instant::now();
-    let mut client = gateway.client();
+    let mut client = scene.gateway.client();
     client.send(&request("consulta", 7, 900));
     assert!(breaks_off(&mut client), "passed on as if whole");
     let took = began.elapsed();
@@ -178,13 +173,13 @@
 #[test]
 fn an_answer_that_does_not_end_does_not_hold_up_a_restart() {
     let backend = Fake::start(|_| Reaction::Answer(ENDLESS.to_owned()));
-    let (mut gateway, _discovery, _counter) = gateway(&[&backend], 64);
-    let mut client = gateway.client();
+    let mut scene = gateway(&[&backend], 64);
+    let mut client = scene.gateway.client();
     client.send(&request("orden-nueva", 7, 5000));
     assert_eq!(client.line(), "HTTP/1.1 200 OK");
     let told = Instant::now();
-    gateway.terminate();
+    scene.gateway.terminate();
     assert!(breaks_off(&mut client), "passed on as if whole");
-    assert!(gateway.wait().success());
+    assert!(scene.gateway.wait().success());
     assert!(told.elapsed() < Duration::from_millis(3700), "{:?}", told.elapsed());
 }
--- a/node/tests/gateway.rs
+++ b/node/tests/gateway.rs
@@ -7,26 +7,12 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-fn serving(backends: &[&Fake]) -> Vec<String> {
-    backends.iter().enumerate().map(|(i, b)| entry(&format!("s-{i}"), b.address, "SERVING")).collect()
-}
-
-/// A gateway with a list of these backends and a counter that works.
-struct Scene {
-    gateway: Gateway,
-    discovery: Discovery,
-    counter: Fake,
-}
-
 fn scene(backends: &[&Fake]) -> Scene {
     scene_with(Start::default(), serving(backends), counter())
 }
 
 fn scene_with(start: Start, entries: Vec<String>, counter: Fake) -> Scene {
-    let discovery = Discovery::start(entries);
-    let gateway = Gateway::start(&start, discovery.fake.address, counter.address);
-    discovery.settled();
-    Scene { gateway, discovery, counter }
+    Scene::new(&start, entries, counter)
 }
 
 const FULL: &str = "x-unprocessed: 1\r\n";
--- a/node/tests/interruptions.rs
+++ b/node/tests/interruptions.rs
@@ -5,25 +5,21 @@
 use common::*;
 use std::time::{Duration, Instant};
 
-struct Scene {
-    gateway: Gateway,
-    _discovery: Discovery,
-    _counter: Fake,
-}
-
 fn scene(backend: &Fake) -> Scene {
     scene_with(&Start::default(), backend)
 }
 
 fn scene_with(start: &Start, backend: &Fake) -> Scene {
-    let entries = vec![entry("s-0", backend.address, "SERVING")];
-    let (discovery, counter) = (Discovery::start(entries), counter());
-    let gateway = Gateway::start(start, discovery.fake.address, counter.address);
-    discovery.settled();
-    Scene { gateway, _discovery: discovery, _counter: counter }
+    Scene::new(start, serving(&[backend]), counter())
+}
+
+/// What operators are told of bodies that ended too soon.
+trait Interruptions {
+    fn expect(&self, figure: &str, why: &str);
+    fn expect_line(&self, kind: &str, why: &str);
 }
 
-impl Scene {
+impl Interruptions for Scene {
     /// Waits until one body has ended in this way, and checks that it alone is counted and told.
     fn expect(&self, figure: &str, why: &str) {
         let until = Instant::now() + LONG;
--- a/node/tests/leaving.rs
+++ b/node/tests/leaving.rs
@@ -21,18 +21,8 @@
 const SLOW_CONNECT: (&str, &str) = ("\"connect_timeout_us\":250000", "\"connect_timeout_us\":5000000");
 const SLOW_COUNT: (&str, &str) = ("\"count_limit_us\":80000", "\"count_limit_us\":5000000");
 
-struct Scene {
-    gateway: Gateway,
-    discovery: Discovery,
-    _counter: Fake,
-}
-
 fn scene(entries: Vec<String>, counter: Fake, changes: Changes) -> Scene {
-    let discovery = Discovery::start(entries);
-    let start = Start { rate: 0.2, burst: 2.0, changes, ..Start::default() };
-    let gateway = Gateway::start(&start, discovery.fake.address, counter.address);
-    discovery.settled();
-    Scene { gateway, discovery, _counter: counter }
+    Scene::new(&Start { rate: 0.2, burst: 2.0, changes, ..Start::default() }, entries, counter)
 }
 
 /// A client whose request waits somewhere.
@@ -169,7 +159,7 @@
     client.send(&text);
     let others = stay.len() as u64;
     until("it is taken", || in_progress(&scene.gateway) == others + 1);
-    scene._counter.next();
+    scene.counter.next();
     let called_off = Box::new(move |gateway: &Gateway| in_progress(gateway) <= others);
     let release = Box::new(|| {
         drop(go);
--- a/node/tests/long_answers.rs
+++ b/node/tests/long_answers.rs
@@ -85,40 +85,38 @@
     }
 }
 
-struct Scene {
-    gateway: Gateway,
-    discovery: Discovery,
-    _counter: Fake,
+/// A gateway and its backends.
+struct Play {
+    scene: Scene,
     backends: Vec<Fake>,
 }
 
-impl Scene {
+impl Play {
     /// Backends that react by the number of the customer who asks.
     fn new(react: impl Fn(u64) -> Reaction + Send + Sync + 'static, backends: usize) -> Self {
         let react = Arc::new(react);
-        let backends: Vec<Fake> = (0..backends)
-            .map(|_| {
-                let react = react.clone();
-                Fake::start(move |seen| {
-                    let customer = seen.path().rsplit('/').next().expect("a customer");
-                    react(u64::from_str_radix(customer, 16).expect("a number"))
-                })
+        let by_customer = || {
+            let react = react.clone();
+            Fake::start(move |seen| {
+                let customer = seen.path().rsplit('/').next().expect("a customer");
+                react(u64::from_str_radix(customer, 16).expect("a number"))
             })
-            .collect();
-        let entries = backends.iter().enumerate();
-        let entries: Vec<_> = entries.map(|(i, b)| entry(&format!("s-{i}"), b.address, "SERVING")).collect();
-        let (discovery, counter) = (Discovery::start(entries), counter());
-        let gateway = Gateway::start(&Start::default(), discovery.fake.address, counter.address);
-        discovery.settled();
-        Scene { gateway, discovery, _counter: counter, backends }
+        };
+        let backends: Vec<Fake> = (0..backends).map(|_| by_customer()).collect();
+        let entries = serving(&backends.iter().collect::<Vec<_>>());
+        Play { scene: Scene::new(&Start::default(), entries, counter()), backends }
     }
 
     fn one(reaction: impl Fn() -> Reaction + Send + Sync + 'static) -> Self {
         Self::new(move |_| reaction(), 1)
     }
 
+    fn gateway(&self) -> &Gateway {
+        &self.scene.gateway
+    }
+
     fn begin(&self, customer: u64) -> Client {
-        let mut client = self.gateway.client();
+        let mut client = self.gateway().client();
         client.send(&request("consulta", customer, WAIT));
         client
     }
@@ -128,9 +126,9 @@
 fn all_come_whole(cases: Vec<Case>) {
     let cases: HashMap<u64, Case> = (1..).zip(cases).collect();
     let scripts = cases.clone();
-    let scene = Scene::new(move |customer| scripts[&customer].reaction(), cases.len());
+    let play = Play::new(move |customer| scripts[&customer].reaction(), cases.len());
     let clients: Vec<(Case, Client)> =
-        cases.into_iter().map(|(customer, case)| (case, scene.begin(customer))).collect();
+        cases.into_iter().map(|(customer, case)| (case, play.begin(customer))).collect();
     let failed: Vec<String> = std::thread::scope(|scope| {
         let check = |(case, mut client): (Case, Client)| {
             let answer = client.answer();
@@ -143,8 +141,8 @@
         let checks: Vec<_> = clients.into_iter().map(|c| scope.spawn(move || check(c))).collect();
         checks.into_iter().filter_map(|c| c.join().expect("a check")).collect()
     });
-    assert!(failed.is_empty(), "{failed:#?}\n{}", scene.gateway.log());
-    assert_eq!(scene.gateway.figures()["answers_interrupted"].to_string().matches(":0").count(), 8);
+    assert!(failed.is_empty(), "{failed:#?}\n{}", play.gateway().log());
+    assert_eq!(play.gateway().figures()["answers_interrupted"].to_string().matches(":0").count(), 8);
 }
 
 const ALL: [Framing; 3] = [Framing::Length, Framing::Chunks, Framing::Close];
@@ -216,7 +214,7 @@
 #[test]
 fn an_answer_whose_head_comes_just_in_time() {
     let case = case("late", Framing::Chunks, &[(0, 1, 10_000), (60, 1, 90_000)]);
-    let scene = Scene::one(move || match case.reaction() {
+    let play = Play::one(move || match case.reaction() {
         Reaction::Pieces(mut pieces) => {
             // 20 ms of its time are kept for the way; gathering takes up to 25 ms.
             pieces[0].0 = WAIT - 35;
@@ -224,8 +222,8 @@
         }
         other => other,
     });
-    let answer = scene.begin(1).answer().expect("an answer");
-    assert_eq!((answer.status(), answer.body.len()), (200, 100_000), "{}", scene.gateway.log());
+    let answer = play.begin(1).answer().expect("an answer");
+    assert_eq!((answer.status(), answer.body.len()), (200, 100_000), "{}", play.gateway().log());
 }
 
 /// Guards against a timer that fires before what stands in the socket is read: the process could not run meanwhile.
@@ -252,9 +250,8 @@
             stream.write_all((piece(170_000 - first) + end).as_bytes()).expect("the kernel takes it");
             let _ = from.read(&mut [0]);
         });
-        let (discovery, counter) = (Discovery::start(vec![entry("s-0", address, "SERVING")]), counter());
-        let gateway = Gateway::start(&Start::default(), discovery.fake.address, counter.address);
-        discovery.settled();
+        let entries = vec![entry("s-0", address, "SERVING")];
+        let Scene { gateway, discovery, counter } = Scene::new(&Start::default(), entries, counter());
         let mut client = gateway.client();
         let began = Instant::now();
         client.send(&request("consulta", 1, WAIT));
@@ -274,7 +271,7 @@
                 more.unwrap_or_else(|| panic!("{} bytes, then the end: {}", rest.len(), gateway.log())),
             );
         }
-        drop((client, gateway));
+        drop((client, gateway, discovery, counter));
         backend.join().expect("the backend ends");
     }
 }
@@ -299,16 +296,16 @@
     let length = 24 << 20;
     for framing in [Framing::Length, Framing::Chunks] {
         let case = case("slow reader", framing, &[(0, 24, 1 << 20)]);
-        let scene = Scene::one(move || case.reaction());
-        let mut client = scene.gateway.client();
+        let play = Play::one(move || case.reaction());
+        let mut client = play.gateway().client();
         let text = request("consulta", 1, WAIT).replace("\r\n\r\n", "\r\nconnection: close\r\n\r\n");
         client.send(&text);
         // Nothing is read for longer than a backend may rest.
         std::thread::sleep(Duration::from_millis(5_000));
         let taken = read_slowly(&mut client, 4 << 20, Duration::from_millis(300));
         let letters = taken.iter().filter(|b| b.is_ascii_lowercase()).count();
-        assert!(letters >= length, "{letters} of {length}: {}", scene.gateway.log());
-        assert_eq!(scene.gateway.figures()["answers_interrupted"].to_string().matches(":0").count(), 8);
+        assert!(letters >= length, "{letters} of {length}: {}", play.gateway().log());
+        assert_eq!(play.gateway().figures()["answers_interrupted"].to_string().matches(":0").count(), 8);
     }
 }
 
@@ -325,8 +322,8 @@
         head("content-length: 60000", &part),
     ];
     let count = texts.len() as u64;
-    let scene = Scene::new(move |n| Reaction::Answer(texts[n as usize - 1].clone()), 4);
-    let clients: Vec<_> = (1..=count).map(|n| (n, Instant::now(), scene.begin(n))).collect();
+    let play = Play::new(move |n| Reaction::Answer(texts[n as usize - 1].clone()), 4);
+    let clients: Vec<_> = (1..=count).map(|n| (n, Instant::now(), play.begin(n))).collect();
     for (n, began, mut client) in clients {
         let answer = client.answer();
         let took = began.elapsed();
@@ -340,46 +337,48 @@
 #[test]
 fn a_long_answer_that_stops() {
     let texts = ["content-length: 200000\r\n\r\n", "transfer-encoding: chunked\r\n\r\n11170\r\n"];
-    let scene = Scene::new(
+    let play = Play::new(
         move |n| {
             Reaction::Answer(format!("HTTP/1.1 200 OK\r\n{}{}", texts[n as usize - 1], "z".repeat(70_000)))
         },
         2,
     );
-    let clients: Vec<_> = (1..=2).map(|n| (Instant::now(), scene.begin(n))).collect();
+    let clients: Vec<_> = (1..=2).map(|n| (Instant::now(), play.begin(n))).collect();
     for (began, mut client) in clients {
         assert!(client.answer().is_none(), "passed on as if whole");
         let took = began.elapsed();
         // A backend may rest for almost 4 s.
         assert!(took > Duration::from_millis(3_900) && took < Duration::from_millis(5_500), "{took:?}");
     }
-    assert_eq!(scene.gateway.figures()["answers_interrupted"]["stalled"], 2);
+    assert_eq!(play.gateway().figures()["answers_interrupted"]["stalled"], 2);
 }
 
 /// Guards against an end of the backend's service that cuts off the answers it is still giving.
 #[test]
 fn a_backend_that_goes_while_its_answer_flows() {
-    type Trouble = fn(&Scene);
+    type Trouble = fn(&Play);
     let troubles: [(&str, Trouble); 6] = [
-        ("out by hand", |s| assert_eq!(s.gateway.call("PUT /backends/disable?id=s-0").status(), 200)),
-        ("draining", |s| s.discovery.set(vec![entry("s-0", s.backends[0].address, "DRAINING")])),
-        ("deleted", |s| s.discovery.set(vec![entry("s-0", s.backends[0].address, "DELETED")])),
-        ("left out of the list", |s| s.discovery.replace(9, vec![])),
-        ("restarted elsewhere", |s| s.discovery.set(vec![entry_since("s-0", free_port(), "SERVING", 5)])),
-        ("the gateway drained", |s| assert_eq!(s.gateway.call("PUT /drain").status(), 200)),
+        ("out by hand", |s| assert_eq!(s.gateway().call("PUT /backends/disable?id=s-0").status(), 200)),
+        ("draining", |s| s.scene.discovery.set(vec![entry("s-0", s.backends[0].address, "DRAINING")])),
+        ("deleted", |s| s.scene.discovery.set(vec![entry("s-0", s.backends[0].address, "DELETED")])),
+        ("left out of the list", |s| s.scene.discovery.replace(9, vec![])),
+        ("restarted elsewhere", |s| {
+            s.scene.discovery.set(vec![entry_since("s-0", free_port(), "SERVING", 5)])
+        }),
+        ("the gateway drained", |s| assert_eq!(s.gateway().call("PUT /drain").status(), 200)),
     ];
     std::thread::scope(|scope| {
         for (what, trouble) in troubles {
             scope.spawn(move || {
                 let case = case(what, Framing::Chunks, &[(0, 1, 20_000), (500, 4, 20_000), (500, 2, 5)]);
                 let length = case.length();
-                let scene = Scene::one(move || case.reaction());
-                let mut client = scene.begin(1);
-                scene.backends[0].next();
-                trouble(&scene);
+                let play = Play::one(move || case.reaction());
+                let mut client = play.begin(1);
+                play.backends[0].next();
+                trouble(&play);
                 let answer = client.answer();
                 let seen = answer.map(|a| (a.status(), a.body.len()));
-                assert_eq!(seen, Some((200, length)), "{what}: {}", scene.gateway.log());
+                assert_eq!(seen, Some((200, length)), "{what}: {}", play.gateway().log());
             });
         }
     });
@@ -393,8 +392,8 @@
     let chunks =
         format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n186a0\r\n{whole}\r\n0\r\n\r\n");
     for text in [length, chunks] {
-        let scene = Scene::one(move || Reaction::PiecesAndClose(vec![(0, text.clone())]));
-        let answer = scene.begin(1).answer().expect("an answer");
+        let play = Play::one(move || Reaction::PiecesAndClose(vec![(0, text.clone())]));
+        let answer = play.begin(1).answer().expect("an answer");
         assert_eq!((answer.status(), answer.body.len()), (200, 100_000));
     }
 }
@@ -403,11 +402,11 @@
 #[test]
 fn a_reload_while_an_answer_flows() {
     let case = case("reload", Framing::Chunks, &[(0, 1, 20_000), (400, 5, 20_000)]);
-    let scene = Scene::one(move || case.reaction());
-    let mut client = scene.begin(1);
-    scene.backends[0].next();
+    let play = Play::one(move || case.reaction());
+    let mut client = play.begin(1);
+    play.backends[0].next();
     let (elsewhere, counter) = (Discovery::start(vec![]), counter());
-    scene.gateway.reload(elsewhere.fake.address, counter.address);
+    play.gateway().reload(elsewhere.fake.address, counter.address);
     let answer = client.answer().expect("an answer");
-    assert_eq!((answer.status(), answer.body.len()), (200, 120_000), "{}", scene.gateway.log());
+    assert_eq!((answer.status(), answer.body.len()), (200, 120_000), "{}", play.gateway().log());
 }
--- a/node/tests/long_uploads.rs
+++ b/node/tests/long_uploads.rs
@@ -12,17 +12,8 @@
 /// What clients are told to have from the end of the body, in milliseconds.
 const WAIT: u64 = 700;
 
-struct Scene {
-    gateway: Gateway,
-    _discovery: Discovery,
-    _counter: Fake,
-}
-
 fn scene(backend: SocketAddr) -> Scene {
-    let (discovery, counter) = (Discovery::start(vec![entry("s-0", backend, "SERVING")]), counter());
-    let gateway = Gateway::start(&Start::default(), discovery.fake.address, counter.address);
-    discovery.settled();
-    Scene { gateway, _discovery: discovery, _counter: counter }
+    Scene::new(&Start::default(), vec![entry("s-0", backend, "SERVING")], counter())
 }
 
 /// A backend whose connections are served by a function, one after the other; tells how many there were.
@@ -172,10 +163,8 @@
     assert_eq!(client.ask(&request("consulta", 9, 2000)).status(), 200);
 }
 
-/// Guards against an answer that began before the body was whole and never ends: its time counts from the body's
-/// end, as that of any other one.
-#[test]
-fn an_early_answer_that_never_ends() {
+/// A client that has sent a part of its body, and has the beginning of an answer that never ends.
+fn half_sent_and_half_answered() -> (Scene, Client) {
     let (address, _connections) =
         early("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n".to_owned());
     let scene = scene(address);
@@ -183,9 +172,17 @@
     client.send(&head(Some(LENGTH)));
     client.send(&"y".repeat(100_000));
     assert_eq!(client.line(), "HTTP/1.1 200 OK");
+    (scene, client)
+}
+
+/// Guards against an answer that began before the body was whole and never ends: its time counts from the body's
+/// end, as that of any other one.
+#[test]
+fn an_early_answer_that_never_ends() {
+    let (scene, mut client) = half_sent_and_half_answered();
     let whole = Instant::now();
     client.send(&"y".repeat(LENGTH - 100_000));
-    while client.rest().is_some_and(|rest| !rest.is_empty()) {}
+    client.read_to_end();
     let took = whole.elapsed();
     assert!(took < Duration::from_millis(WAIT + 500), "{took:?} {}", scene.gateway.log());
     assert_eq!(scene.gateway.figures()["answers_interrupted"]["late"], 1);
@@ -194,21 +191,11 @@
 /// Guards against a client that stops sending, holding its place behind an answer that came early.
 #[test]
 fn an_early_answer_whose_client_stops_sending() {
-    let (address, _connections) =
-        early("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n".to_owned());
-    let scene = scene(address);
-    let mut client = scene.gateway.client();
-    client.send(&head(Some(LENGTH)));
-    client.send(&"y".repeat(100_000));
-    assert_eq!(client.line(), "HTTP/1.1 200 OK");
+    let (scene, mut client) = half_sent_and_half_answered();
     let began = Instant::now();
-    while client.rest().is_some_and(|rest| !rest.is_empty()) {}
-    let took = began.elapsed();
-    assert!(
-        took > Duration::from_millis(2_000) && took < Duration::from_millis(5_500),
-        "{took:?} {}",
-        scene.gateway.log()
-    );
+    client.read_to_end();
+    let (took, log) = (began.elapsed(), scene.gateway.log());
+    assert!(took > Duration::from_millis(2_000) && took < Duration::from_millis(5_500), "{took:?} {log}");
 }
 
 /// Guards against a backend that is told to have until the longest upload would be over: an attempt that begins before
--- a/node/tests/ops.rs
+++ b/node/tests/ops.rs
@@ -6,10 +6,7 @@
 use std::time::{Duration, Instant};
 
 fn gateway(backends: &[&Fake]) -> (Gateway, Discovery, Fake) {
-    let entries = backends.iter().enumerate().map(|(i, b)| entry(&format!("s-{i}"), b.address, "SERVING"));
-    let (discovery, counter) = (Discovery::start(entries.collect()), counter());
-    let gateway = Gateway::start(&Start::default(), discovery.fake.address, counter.address);
-    discovery.settled();
+    let Scene { gateway, discovery, counter } = Scene::new(&Start::default(), serving(backends), counter());
     (gateway, discovery, counter)
 }
 
--- a/node/tests/restart.rs
+++ b/node/tests/restart.rs
@@ -12,21 +12,8 @@
 /// SIGKILL comes no sooner after SIGTERM, with a longest deadline of 3 s or more.
 const KILL: Duration = Duration::from_millis(3_700);
 
-struct Scene {
-    gateway: Gateway,
-    discovery: Discovery,
-    counter: Fake,
-}
-
 fn scene(start: &Start, entries: Vec<String>) -> Scene {
-    let (discovery, counter) = (Discovery::start(entries), counter());
-    let gateway = Gateway::start(start, discovery.fake.address, counter.address);
-    discovery.settled();
-    Scene { gateway, discovery, counter }
-}
-
-fn one(backend: &Fake) -> Vec<String> {
-    vec![entry("s-0", backend.address, "SERVING")]
+    Scene::new(start, entries, counter())
 }
 
 /// A backend that answers once it is told to.
@@ -50,7 +37,7 @@
 #[test]
 fn connections_are_answered_for_as_long_as_they_come() {
     let (backend, go) = holding();
-    let mut scene = scene(&Start::default(), one(&backend));
+    let mut scene = scene(&Start::default(), serving(&[&backend]));
     let mut first = scene.gateway.client();
     first.send(&request("orden-nueva", 7, 5000));
     backend.next();
@@ -75,7 +62,7 @@
 #[test]
 fn connections_in_the_listener_s_line_are_answered() {
     let backend = Fake::start(|_| ok("x"));
-    let mut scene = scene(&Start::default(), one(&backend));
+    let mut scene = scene(&Start::default(), serving(&[&backend]));
     let told = Instant::now();
     scene.gateway.terminate();
     while scene.gateway.health() == Some(200) {}
@@ -95,9 +82,9 @@
 #[test]
 fn signals_at_the_start_together_and_twice() {
     let backend = Fake::start(|_| ok("x"));
-    let (discovery, counter) = (Discovery::start(one(&backend)), counter());
+    let (discovery, counter) = (Discovery::start(serving(&[&backend])), counter());
     for signals in [&["-TERM"][..], &["-HUP", "-TERM"], &["-TERM", "-HUP"], &["-TERM", "-TERM"]] {
-        let start = Start { known: Some(list(1, true, &one(&backend))), ..Start::default() };
+        let start = Start { known: Some(list(1, true, &serving(&[&backend]))), ..Start::default() };
         let mut gateway = Gateway::launch(&start, discovery.fake.address, counter.address);
         // Its handlers are in place before it listens.
         let mut client = gateway.first_client();
@@ -186,7 +173,7 @@
     let rests = Fake::start(move |_| Reaction::Pieces(pieces.clone()));
     let at_once = Fake::start(move |_| Reaction::Answer(head(LENGTH) + &"z".repeat(LENGTH)));
     for (backend, length) in [(rests, 160_000), (at_once, LENGTH)] {
-        let mut scene = scene(&Start::default(), one(&backend));
+        let mut scene = scene(&Start::default(), serving(&[&backend]));
         let mut client = scene.gateway.client();
         client.send(&request("orden-nueva", 7, 5000));
         assert_eq!(client.line(), "HTTP/1.1 200 OK");
@@ -218,7 +205,7 @@
             }
             ok(&adds.add(call))
         });
-        let discovery = Discovery::start(one(&backend));
+        let discovery = Discovery::start(serving(&[&backend]));
         let start = Start { rate: 100.0, burst: 6000.0, ..Start::default() };
         let mut gateway = Gateway::start(&start, discovery.fake.address, counter.address);
         discovery.settled();
