--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -103,8 +103,8 @@
     /// A long one goes on for as long as its backend sends, and its client may take it slowly.
     pub fn cut_unproven(&self, for_long: Duration) {
         let connections = self.connections.borrow();
-        let stopped = connections.values().filter(|c| c.unproven_answer_stopped(for_long));
-        stopped.for_each(|c| c.cut(CutReason::ProcessEnded));
+        let unproven = connections.values().filter(|c| !c.answer_is_long());
+        unproven.filter(|c| c.answer_stopped(for_long)).for_each(|c| c.cut(CutReason::ProcessEnded));
     }
 
     /// Connections held.
@@ -231,9 +231,7 @@
                     Phase::Body | Phase::Work if client.meter.peer_closed() => {
                         client.cut(CutReason::ClientClosed)
                     }
-                    Phase::Reply if client.uploading.get() && client.overdue() => {
-                        client.cut(CutReason::RequestTooSlow)
-                    }
+                    Phase::Reply if client.upload_abandoned() => client.cut(CutReason::RequestTooSlow),
                     _ if client.answering() && client.client_stopped(CLIENT_STOPPED) => {
                         client.cut(CutReason::ClientStopped)
                     }
--- a/node/src/server/connection.rs
+++ b/node/src/server/connection.rs
@@ -1,6 +1,6 @@
 //! A client's connection: what it is doing, and how long it may take for that.
 
-use crate::body::answer_limit::Extent;
+use crate::body::answer_limit::{Extent, STALL_TIMEOUT};
 use crate::body::download::Progress;
 use crate::body::interruption::{AnswerInterruption, UploadInterruption};
 use crate::body::upload::Backpressure;
@@ -211,10 +211,21 @@
         at.elapsed() >= for_long
     }
 
-    /// Whether it passes on an answer that is not known to be long, and of which nothing has come for so long.
-    pub fn unproven_answer_stopped(&self, for_long: Duration) -> bool {
-        let unproven = self.progress.get().filter(|progress| progress.extent != Extent::Long);
-        self.phase() == Phase::Reply && unproven.is_some_and(|p| p.last_received.elapsed() >= for_long)
+    /// Whether it passes on an answer of which nothing has come for so long.
+    pub fn answer_stopped(&self, for_long: Duration) -> bool {
+        let progress = self.progress.get().filter(|_| self.phase() == Phase::Reply);
+        progress.is_some_and(|progress| progress.last_received.elapsed() >= for_long)
+    }
+
+    /// Whether the answer that it passes on is known to be long.
+    pub fn answer_is_long(&self) -> bool {
+        self.progress.get().is_some_and(|progress| progress.extent == Extent::Long)
+    }
+
+    /// Whether its client has stopped sending a body that was answered early, and nothing comes of that answer
+    /// either. One who stops for the answer, and reads that, is let be.
+    pub fn upload_abandoned(&self) -> bool {
+        self.uploading.get() && self.overdue() && self.answer_stopped(STALL_TIMEOUT)
     }
 
     /// Its request waits for an answer, or for more of itself.
--- a/node/tests/long_uploads.rs
+++ b/node/tests/long_uploads.rs
@@ -198,6 +198,25 @@
     assert!(took > Duration::from_millis(2_000) && took < Duration::from_millis(5_500), "{took:?} {log}");
 }
 
+/// Guards against an answer cut off as its client stops sending the body that it answers, and reads on.
+#[test]
+fn an_early_answer_whose_client_only_reads_on() {
+    let (address, _connections) = raw_backend(|mut from| {
+        read_head(&mut from);
+        write(&from, "HTTP/1.1 200 OK\r\ncontent-length: 130000\r\n\r\n");
+        for _ in 0..13 {
+            write(&from, &"z".repeat(10_000));
+            std::thread::sleep(Duration::from_millis(500));
+        }
+    });
+    let scene = scene(address);
+    let mut client = scene.gateway.client();
+    client.send(&head(Some(LENGTH)));
+    client.send(&"y".repeat(100_000));
+    let answer = client.answer().map(|a| (a.status(), a.body.len()));
+    assert_eq!(answer, Some((200, 130_000)), "{}", scene.gateway.log());
+}
+
 /// Guards against a backend that is told to have until the longest upload would be over: an attempt that begins before
 /// its request's body is whole tells what is left after the last byte.
 #[test]
