Flush a lone process's units as soon as its requests are settled

By reading: units were flushed behind the loop that waits for long answers, with no time left where one flows to the last moment. They are flushed from the moment on in which all requests are settled.

--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -133,6 +133,10 @@
         if began.elapsed() >= last_answer {
             server.cut_unproven(LAST_BYTES);
         }
+        // Nothing more is spent, though answers may still flow: no time is lost until they end.
+        if driver.idle() && !others.paired() {
+            driver.flush();
+        }
         sleep(END_INTERVAL).await;
     }
     let settled_by = began + last_answer + LAST_BYTES;
--- a/node/tests/restart.rs
+++ b/node/tests/restart.rs
@@ -219,3 +219,36 @@
         assert_eq!(numbers.sum(), 20.0, "{away} calls turned away");
     }
 }
+
+/// Guards against the same where a long answer flows as SIGKILL comes.
+#[test]
+fn units_of_a_lone_process_are_told_while_a_long_answer_flows() {
+    let head = "HTTP/1.1 200 OK\r\ncontent-length: 200000\r\n\r\n".to_owned() + &"z".repeat(100_000);
+    let rest = (0..200).map(|_| (100, "z".repeat(500)));
+    let pieces: Vec<_> = [(0, head)].into_iter().chain(rest).collect();
+    let backend = Fake::start(move |seen| match seen.path().ends_with('9') {
+        true => Reaction::Pieces(pieces.clone()),
+        false => ok("x"),
+    });
+    let numbers = Numbers::default();
+    let (adds, began) = (numbers.clone(), Instant::now());
+    // It turns all calls away until the last moments.
+    let counter = Fake::start(move |call| match began.elapsed() < Duration::from_secs(3) {
+        true => Reaction::Answer(answer("503 No", "", "")),
+        false => ok(&adds.add(call)),
+    });
+    let start = Start { rate: 100.0, burst: 6000.0, ..Start::default() };
+    let mut scene = Scene::new(&start, serving(&[&backend]), counter);
+    let (mut client, mut long) = (scene.gateway.client(), scene.gateway.client());
+    long.send(&request("orden-nueva", 9, 5000));
+    assert_eq!(long.line(), "HTTP/1.1 200 OK");
+    for customer in 0..8 {
+        assert_eq!(client.ask(&request("consulta", customer, 3000)).status(), 200);
+    }
+    let told = Instant::now();
+    scene.gateway.terminate();
+    std::thread::sleep(KILL.saturating_sub(told.elapsed()));
+    scene.gateway.signal("-KILL");
+    let _ = scene.gateway.wait();
+    assert_eq!(numbers.sum(), 9.0);
+}
