--- a/src/api.rs
+++ b/src/api.rs
@@ -1,7 +1,7 @@
 //! The interface of the decision module: what a gateway is told ([`Config`], [`Event`]) and what
 //! it may do ([`Action`]). Times are microseconds of the caller's clock. No decision lives here.
 
-use crate::state::Legacy;
+use crate::succession::Legacy;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,7 +30,12 @@
 
 mod api;
 mod logic;
+mod random;
 mod state;
+mod succession;
+mod vitals;
 
 pub use api::*;
-pub use state::{Gateway, Legacy, Refusals, Vitals};
+pub use state::Gateway;
+pub use succession::Legacy;
+pub use vitals::{Refusals, Vitals};
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,9 @@
 //! What a gateway remembers: plain data, no decisions. `src/logic.rs` decides on it.
 
 use crate::api::*;
+pub(crate) use crate::random::{mix, unit, Random};
+pub(crate) use crate::succession::Legacy;
+pub(crate) use crate::vitals::Refusals;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -137,42 +140,6 @@
     pub(crate) lost: bool,
 }
 
-/// What a process of this gateway leaves to the next one: plain figures, on the clock that both go by.
-#[derive(Default, Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Legacy {
-    /// The names of the plans and classes that its figures mean.
-    #[serde(default)]
-    pub(crate) names: [Vec<String>; 2],
-    pub(crate) customers: Vec<(CustomerId, Customer)>,
-    pub(crate) backends: Vec<(BackendId, Cold)>,
-    /// By class: latency, its least, and answers that these rest on.
-    pub(crate) classes: Vec<(f64, f64, u32)>,
-    pub(crate) mix: [f64; 2],
-}
-
-impl Legacy {
-    /// What of it holds under these settings. Danger: plans and classes are told by their places; where these
-    /// mean others, a customer would come under another one's plan.
-    pub(crate) fn fitting(mut self, cfg: &Config) -> Self {
-        let [plans, classes] = cfg.names();
-        if self.names[0] != plans || self.customers.iter().any(|(_, c)| c.plan >= plans.len()) {
-            self.customers.clear();
-        }
-        if self.names[1] != classes {
-            (self.classes, self.mix) = (Vec::new(), [0.0; 2]);
-        }
-        self
-    }
-}
-
-/// What the budget for a cold backend goes by.
-#[derive(Default, Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct Cold {
-    pub(crate) started: Option<Micros>,
-    pub(crate) guessed: Option<Micros>,
-    pub(crate) sent: VecDeque<Micros>,
-}
-
 #[derive(Default)]
 pub(crate) struct Request {
     pub(crate) class: usize,
@@ -196,54 +163,6 @@
     Overdue(CustomerId),
 }
 
-/// Refusals by their reason, since the start.
-#[derive(Default, Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Refusals {
-    /// The customer's estimate was over its quota.
-    pub over: u64,
-    /// No fresh total to go by, and own use was over this gateway's part.
-    pub blind: u64,
-    /// The fleet was taken to be too busy.
-    pub pressed: u64,
-    /// No backend might be sent to.
-    pub nowhere: u64,
-}
-
-/// What the decisions go by at this moment, for the log.
-#[derive(Clone, Copy, Debug)]
-pub struct Vitals {
-    /// Refusals by their reason, since the start.
-    pub refusals: Refusals,
-    /// Time to completion as expected, and what it usually takes, microseconds.
-    pub expected: f64,
-    /// Mean latency of late where the fleet is idle.
-    pub idle: f64,
-    /// Attempts out.
-    pub out: u32,
-    /// Of these, attempts that got lost.
-    pub lost: u32,
-    /// Backends listed, and of these the ones that are not in use for their health.
-    pub listed: usize,
-    /// See `listed`.
-    pub ejected: usize,
-    /// Backends listed that get nothing new: out by hand, draining, or ejected for their health.
-    pub skipped: usize,
-    /// What is held: customers, names of counts, requests, timers, and backends listed or not.
-    pub customers: usize,
-    /// See `customers`.
-    pub names: usize,
-    /// See `customers`.
-    pub requests: usize,
-    /// See `customers`.
-    pub timers: usize,
-    /// See `customers`.
-    pub backends: usize,
-    /// Pace of calls to the counter, and how many may be out.
-    pub pace: f64,
-    /// See `pace`.
-    pub calls_most: f64,
-}
-
 /// The decisions of one gateway. The default one has no classes and refuses all.
 #[derive(Default)]
 pub struct Gateway {
@@ -336,17 +255,6 @@
     Nowhere,
 }
 
-impl Refusals {
-    pub(crate) fn count(&mut self, why: Reason) {
-        *match why {
-            Reason::Over => &mut self.over,
-            Reason::Blind => &mut self.blind,
-            Reason::Pressed => &mut self.pressed,
-            Reason::Nowhere => &mut self.nowhere,
-        } += 1;
-    }
-}
-
 /// A part of what came of late, in counts that fade.
 #[derive(Default, Clone)]
 pub(crate) struct Part {
@@ -441,14 +349,6 @@
     }
 }
 
-impl Config {
-    /// The names of plans and classes, by their places.
-    fn names(&self) -> [Vec<String>; 2] {
-        let plans = self.plans.iter().map(|p| p.name.clone()).collect();
-        [plans, self.classes.iter().map(|c| c.name.clone()).collect()]
-    }
-}
-
 impl CustomerId {
     /// What is kept of a customer under one of its plans goes by this; twice, it is the customer's own number
     /// again. Customers are numbers below 2^33.
@@ -474,91 +374,6 @@
         Gateway { class_lat, class_base, class_seen, class_let: vec![Part::default(); n], ..Self::default() }
     }
 
-    /// What the decisions go by at this moment: for the log, which tells one cause of refusals from another.
-    pub fn vitals(&self) -> Vitals {
-        let listed = self.backends.values().filter(|b| b.listed);
-        Vitals {
-            refusals: self.refusals,
-            expected: self.expected(),
-            idle: self.mix_base,
-            out: self.out,
-            lost: self.lost,
-            listed: listed.clone().count(),
-            ejected: listed.clone().filter(|b| b.health != Health::Well).count(),
-            skipped: listed.filter(|b| !self.usable(b)).count(),
-            customers: self.customers.len(),
-            names: self.names.len(),
-            requests: self.requests.len(),
-            timers: self.timers.len(),
-            backends: self.backends.len(),
-            pace: self.pace,
-            calls_most: self.calls_most,
-        }
-    }
-
-    /// What the next process of this gateway is to know.
-    pub fn legacy(&self) -> Legacy {
-        let heir = |c: &Customer| {
-            let mut c = Customer { pending: Vec::new(), sync_at: None, out: 0, ..c.clone() };
-            for t in [&mut c.cur, &mut c.prev] {
-                // What is not on the counter yet is known here as spent, and told there by this process.
-                let own = std::mem::take(&mut t.unsent)
-                    + std::mem::take(&mut t.fix)
-                    + std::mem::take(&mut t.in_call);
-                (t.total, t.others, t.calling) = (t.total + own, t.others + own, false);
-            }
-            c
-        };
-        let cold = |b: &Backend| Cold { started: b.started, guessed: b.guessed, sent: b.sent.clone() };
-        let classes = self.class_lat.iter().zip(&self.class_base).zip(&self.class_seen);
-        Legacy {
-            names: self.cfg.names(),
-            customers: self.customers.iter().map(|(id, c)| (*id, heir(c))).collect(),
-            backends: self.backends.iter().filter(|(_, b)| b.listed).map(|(id, b)| (*id, cold(b))).collect(),
-            classes: classes.map(|((lat, base), seen)| (*lat, *base, *seen)).collect(),
-            mix: [self.mix_lat, self.mix_base],
-        }
-    }
-
-    /// Takes out what this process has spent and not told the counter, for another one to tell it.
-    pub fn spent(&mut self) -> Vec<Spent> {
-        let mut all = Vec::new();
-        for (id, c) in &mut self.customers {
-            for (t, window) in [(&mut c.cur, c.window), (&mut c.prev, c.window.wrapping_sub(1))] {
-                let units = std::mem::take(&mut t.unsent) + std::mem::take(&mut t.fix);
-                if units != 0.0 {
-                    let (customer, plan) = (id.under(c.plan), self.cfg.plans[c.plan].name.clone());
-                    all.push(Spent { customer, plan, spread: c.spread, window, units });
-                }
-            }
-        }
-        all
-    }
-
-    /// Whether units are known here that the counter has not been told of.
-    pub fn has_unsent(&self) -> bool {
-        self.customers.values().any(|c| c.cur.unsent != 0.0 || c.prev.unsent != 0.0)
-    }
-
-    /// Makes all syncs with unsent units due, as this process ends; appends those that the counter is seen to bear
-    /// now. To be called until none is left.
-    pub fn flush(&mut self, now: Micros, acts: &mut Vec<Action>) {
-        self.now = self.now.max(now);
-        let unsent = self.customers.iter().filter(|(_, c)| c.cur.unsent != 0.0 || c.prev.unsent != 0.0);
-        let unsent: Vec<CustomerId> = unsent.map(|(id, _)| *id).collect();
-        unsent.into_iter().for_each(|id| self.schedule(id, 0.0));
-        self.pump_syncs();
-        acts.append(&mut self.acts);
-    }
-
-    /// Takes over what answers take, by class and over all.
-    pub(crate) fn inherit_latencies(&mut self, classes: Vec<(f64, f64, u32)>, mix: [f64; 2]) {
-        for (i, (lat, base, seen)) in classes.into_iter().enumerate().take(self.class_lat.len()) {
-            (self.class_lat[i], self.class_base[i], self.class_seen[i]) = (lat, base, seen);
-        }
-        [self.mix_lat, self.mix_base] = mix;
-    }
-
     /// How many gateways a customer's requests come through, where it says so: one at the least.
     pub(crate) fn bounded_spread(&self, told: f64) -> f64 {
         told.max(1.0).min(self.cfg.gateways as f64)
@@ -637,23 +452,6 @@
     }
 }
 
-/// A well-spread number from another (splitmix64).
-pub(crate) fn mix(v: u64) -> u64 {
-    let mut z = v.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    z ^ (z >> 31)
-}
-
-/// A number's place in 0..1.
-pub(crate) fn unit(v: u64) -> f64 {
-    (v >> 11) as f64 / (1u64 << 53) as f64
-}
-
-/// Seeded random numbers in 0..1 (xorshift).
-#[derive(Default)]
-pub(crate) struct Random(pub(crate) u64);
-
 impl BackendRow {
     /// The backend's address as a number.
     pub(crate) fn key(&self) -> u64 {
@@ -661,12 +459,3 @@
         u64::from(u32::from_be_bytes(self.backend.address)) << 16 | port
     }
 }
-
-impl Random {
-    pub(crate) fn next(&mut self) -> f64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        unit(self.0)
-    }
-}
