--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -1,6 +1,7 @@
 //! What a gateway is told: the NODE_* variables and the JSON file they name, at its start and on SIGHUP.
 
 use crate::endpoints::List;
+use crate::hash::fnv1a;
 use caperwind::Config;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -190,5 +191,5 @@
 }
 
 fn rough_seed(text: &str) -> u64 {
-    text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+    fnv1a(text.as_bytes())
 }
--- a/node/src/driver/backend_list.rs
+++ b/node/src/driver/backend_list.rs
@@ -1,6 +1,7 @@
 //! The backends as discovery and operators have told them.
 
 use crate::endpoints::{Endpoint, List, Status};
+use crate::hash::{fnv1a, fnv1a_step};
 use caperwind::{BackendId, BackendRow, BackendState, CellIx, Config, KindIx, Micros, ZoneIx};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
@@ -9,10 +10,6 @@
 /// Those that have gone are remembered for so long: no list is older.
 const REMEMBER_GONE: Micros = 120_000_000;
 
-/// The first of FNV-1a's two constants for 64 bits, and the other one.
-const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-const FNV_PRIME: u64 = 0x0100_0000_01b3;
-
 /// A backend that has gone.
 struct Gone {
     /// The start of its last process, in milliseconds of Unix time.
@@ -150,8 +147,7 @@
 /// The module's id for a backend: made from its name by FNV-1a, which all gateways know it by and which stays
 /// when its process restarts or its address changes.
 fn id_of(name: &str, ids: &HashSet<BackendId>) -> BackendId {
-    let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
-    let mut hash = name.bytes().fold(FNV_OFFSET, step);
+    let mut hash = fnv1a(name.as_bytes());
     loop {
         let bytes = hash.to_be_bytes();
         let id = BackendId {
@@ -161,6 +157,6 @@
         if !ids.contains(&id) {
             return id;
         }
-        hash = step(hash, 0);
+        hash = fnv1a_step(hash, 0);
     }
 }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod endpoints;
 pub mod figures;
 pub mod handover;
+pub mod hash;
 pub mod link;
 pub mod log;
 pub mod meter;
--- a/node/src/log.rs
+++ b/node/src/log.rs
@@ -41,7 +41,7 @@
     }
 
     /// The line as it is to be written; `None` where it is one too many.
-    pub fn admit(&self, text: &str) -> Option<String> {
+    fn admit(&self, text: &str) -> Option<String> {
         if self.second_began.get().is_none_or(|began| began.elapsed() >= SECOND) {
             self.second_began.set(Some(Instant::now()));
             self.written.set(0);
--- a/node/src/server/handler.rs
+++ b/node/src/server/handler.rs
@@ -84,7 +84,7 @@
         self.waits.notify_one();
         let label = RequestLabel { class: terms.class, id: terms.id.clone() };
         let mut upload = UploadWatch::new(client.clone(), self.figures.clone(), label.clone());
-        let received = match self.receive(&head, body, length, &label, client, &mut upload).await {
+        let received = match self.receive(&head, body, length, label.class, client, &mut upload).await {
             Ok(received) => received,
             Err((status, text)) => return last(status, text),
         };
@@ -114,15 +114,18 @@
         head: &Parts,
         body: Incoming,
         length: Option<u64>,
-        request: &RequestLabel,
+        class: ClassIx,
         client: &Rc<ClientConnection>,
         upload: &mut UploadWatch,
     ) -> Result<Received, Fault> {
         let small = length.filter(|n| *n <= MAX_BUFFERED_BYTES as u64).and_then(|n| usize::try_from(n).ok());
         let reservation = self.bodies.reserve(small.unwrap_or(MAX_BUFFERED_BYTES));
         if reservation.is_none() && small.is_some() {
-            let arriving = !body.is_end_stream();
-            self.refuse_unread(request.class, arriving, upload);
+            self.figures.settle(class, Ending::Dropped);
+            match body.is_end_stream() {
+                true => upload.complete(),
+                false => upload.interrupt(UploadInterruption::AnsweredEarly),
+            }
             return Err((StatusCode::SERVICE_UNAVAILABLE, "too much in hand\n"));
         }
         let gathered = match &reservation {
@@ -154,15 +157,6 @@
         }
     }
 
-    fn refuse_unread(&self, class: ClassIx, arriving: bool, upload: &mut UploadWatch) {
-        self.figures.settle(class, Ending::Dropped);
-        if arriving {
-            upload.interrupt(UploadInterruption::AnsweredEarly);
-        } else {
-            upload.complete();
-        }
-    }
-
     /// Hands a request to the driver: its time counts from here, if its last byte has come.
     fn submit(&self, message: Message, terms: Terms) -> Result<Ticket, Fault> {
         let class = terms.class;
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -125,6 +125,17 @@
     BufReader::new(stream)
 }
 
+/// A backend that gives customer 9 a long answer for twenty seconds, a little at a time, and all others a short one.
+pub fn long_for_customer_nine() -> Fake {
+    let head = "HTTP/1.1 200 OK\r\ncontent-length: 200000\r\n\r\n".to_owned() + &"z".repeat(100_000);
+    let rest = (0..200).map(|_| (100, "z".repeat(500)));
+    let pieces: Vec<_> = [(0, head)].into_iter().chain(rest).collect();
+    Fake::start(move |seen| match seen.path().ends_with('9') {
+        true => Reaction::Pieces(pieces.clone()),
+        false => ok("x"),
+    })
+}
+
 /// A listener whose connections are served by a function, a thread each.
 pub struct Fake {
     pub address: SocketAddr,
--- a/node/tests/handover.rs
+++ b/node/tests/handover.rs
@@ -337,12 +337,7 @@
 /// Guards against units that wait for the end of a long answer to be handed over, and are lost as SIGKILL comes first.
 #[test]
 fn units_are_handed_over_before_a_long_answer_ends() {
-    let pieces = [(0, "HTTP/1.1 200 OK\r\ncontent-length: 200000\r\n\r\n".to_owned() + &"z".repeat(100_000))];
-    let pieces: Vec<_> = pieces.into_iter().chain((0..200).map(|_| (100, "z".repeat(500)))).collect();
-    let backend = Fake::start(move |seen| match seen.path().ends_with('9') {
-        true => Reaction::Pieces(pieces.clone()),
-        false => ok("x"),
-    });
+    let backend = long_for_customer_nine();
     let scene = Scene::new(&[&backend]);
     let old = scene.process();
     let (mut client, mut long) = (old.client(), old.client());
--- a/node/tests/interruptions.rs
+++ b/node/tests/interruptions.rs
@@ -13,13 +13,7 @@
     Scene::new(start, serving(&[backend]), counter())
 }
 
-/// What operators are told of bodies that ended too soon.
-trait Interruptions {
-    fn expect(&self, figure: &str, why: &str);
-    fn expect_line(&self, kind: &str, why: &str);
-}
-
-impl Interruptions for Scene {
+impl Scene {
     /// Waits until one body has ended in this way, and checks that it alone is counted and told.
     fn expect(&self, figure: &str, why: &str) {
         let until = Instant::now() + LONG;
--- a/node/tests/long_answers.rs
+++ b/node/tests/long_answers.rs
@@ -115,6 +115,11 @@
         &self.scene.gateway
     }
 
+    fn none_interrupted(&self) {
+        let interrupted = self.gateway().figures()["answers_interrupted"].to_string();
+        assert_eq!(interrupted.matches(":0").count(), 8, "{interrupted}");
+    }
+
     fn begin(&self, customer: u64) -> Client {
         let mut client = self.gateway().client();
         client.send(&request("consulta", customer, WAIT));
@@ -142,7 +147,7 @@
         checks.into_iter().filter_map(|c| c.join().expect("a check")).collect()
     });
     assert!(failed.is_empty(), "{failed:#?}\n{}", play.gateway().log());
-    assert_eq!(play.gateway().figures()["answers_interrupted"].to_string().matches(":0").count(), 8);
+    play.none_interrupted();
 }
 
 const ALL: [Framing; 3] = [Framing::Length, Framing::Chunks, Framing::Close];
@@ -305,7 +310,7 @@
         let taken = read_slowly(&mut client, 4 << 20, Duration::from_millis(300));
         let letters = taken.iter().filter(|b| b.is_ascii_lowercase()).count();
         assert!(letters >= length, "{letters} of {length}: {}", play.gateway().log());
-        assert_eq!(play.gateway().figures()["answers_interrupted"].to_string().matches(":0").count(), 8);
+        play.none_interrupted();
     }
 }
 
--- a/node/tests/restart.rs
+++ b/node/tests/restart.rs
@@ -223,13 +223,7 @@
 /// Guards against the same where a long answer flows as SIGKILL comes.
 #[test]
 fn units_of_a_lone_process_are_told_while_a_long_answer_flows() {
-    let head = "HTTP/1.1 200 OK\r\ncontent-length: 200000\r\n\r\n".to_owned() + &"z".repeat(100_000);
-    let rest = (0..200).map(|_| (100, "z".repeat(500)));
-    let pieces: Vec<_> = [(0, head)].into_iter().chain(rest).collect();
-    let backend = Fake::start(move |seen| match seen.path().ends_with('9') {
-        true => Reaction::Pieces(pieces.clone()),
-        false => ok("x"),
-    });
+    let backend = long_for_customer_nine();
     let numbers = Numbers::default();
     let (adds, began) = (numbers.clone(), Instant::now());
     // It turns all calls away until the last moments.
--- a/node/tests/service.rs
+++ b/node/tests/service.rs
@@ -9,17 +9,13 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-fn scene(start: &Start, entries: Vec<String>, counter: Fake) -> Scene {
-    Scene::new(start, entries, counter)
-}
-
 /// Guards against SIGHUP as the end of the process, against peers of the file's that are not gone to at
 /// once, and against a file that can't be read taking the old settings away.
 #[test]
 fn a_new_configuration_moves_to_its_discovery_and_counter() {
     let (before, after) = (Fake::start(|_| ok("before")), Fake::start(|_| ok("after")));
     let start = Start { rate: 0.2, burst: 2.0, ..Start::default() };
-    let scene = scene(&start, serving(&[&before]), counter());
+    let scene = Scene::new(&start, serving(&[&before]), counter());
     let mut client = scene.gateway.client();
     assert_eq!(client.ask(&request("consulta", 1, 2000)).body, b"before");
 
@@ -63,7 +59,7 @@
             1 => Reaction::Answer(text.clone()),
             _ => ok("well"),
         });
-        let scene = scene(&Start::default(), serving(&[&backend]), counter());
+        let scene = Scene::new(&Start::default(), serving(&[&backend]), counter());
         let mut client = scene.gateway.client();
         let statuses = [(); 3].map(|()| {
             std::thread::sleep(SETTLED);
@@ -82,7 +78,7 @@
         let own = answer("200 OK", "", seen.header("x-correlation-id").expect("an id"));
         Reaction::Answer(format!("HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n{own}{own}"))
     });
-    let scene = scene(&Start::default(), serving(&[&backend]), counter());
+    let scene = Scene::new(&Start::default(), serving(&[&backend]), counter());
     let mut client = scene.gateway.client();
     for _ in 0..20 {
         std::thread::sleep(SETTLED);
@@ -114,7 +110,7 @@
         })
         .collect();
     let name = |(i, f): (usize, &Fake)| entry(&format!("s-{i}"), f.address, "SERVING");
-    let scene = scene(&Start::default(), fakes.iter().enumerate().map(name).collect(), counter());
+    let scene = Scene::new(&Start::default(), fakes.iter().enumerate().map(name).collect(), counter());
     let mut client = scene.gateway.client();
     let until = Instant::now() + LONG;
     while broken.load(Ordering::SeqCst) < 2 * BACKENDS {
@@ -157,7 +153,7 @@
     });
     let backend = Fake::start(|_| ok("x"));
     let start = Start { rate: 0.2, burst: 2.0, ..Start::default() };
-    let scene = scene(&start, serving(&[&backend]), slow);
+    let scene = Scene::new(&start, serving(&[&backend]), slow);
     let until = Instant::now() + LONG;
     std::thread::scope(|threads| {
         for first in 0..24 {
@@ -198,7 +194,7 @@
     let backend = Fake::start(|_| ok("x"));
     // A part of a hundred units, of which few are used: nothing but that total stands in the way.
     let start = Start { rate: 10.0, burst: 200.0, ..Start::default() };
-    let scene = scene(&start, serving(&[&backend]), counter);
+    let scene = Scene::new(&start, serving(&[&backend]), counter);
     let mut client = scene.gateway.client();
     (0..5).for_each(|_| assert_eq!(client.ask(&request("consulta", 3, 3000)).status(), 200));
     scene.counter.next();
@@ -220,7 +216,7 @@
 fn a_counter_s_connection_ends_with_an_answer_that_has_no_number() {
     let backend = Fake::start(|_| ok("x"));
     let start = Start { rate: 0.2, burst: 2.0, ..Start::default() };
-    let scene = scene(&start, serving(&[&backend]), Fake::start(|_| ok("\u{7f}nothing")));
+    let scene = Scene::new(&start, serving(&[&backend]), Fake::start(|_| ok("\u{7f}nothing")));
     let mut client = scene.gateway.client();
     for customer in 0..6 {
         for _ in 0..2 {
@@ -238,7 +234,7 @@
 #[test]
 fn silent_and_slow_clients_are_let_go_in_time() {
     let backend = Fake::start(|_| ok("x"));
-    let scene = scene(&Start::default(), serving(&[&backend]), counter());
+    let scene = Scene::new(&Start::default(), serving(&[&backend]), counter());
     let began = Instant::now();
     let beginnings = [
         String::new(),
@@ -266,7 +262,7 @@
 #[test]
 fn a_length_that_can_not_be_trusted_ends_the_connection() {
     let backend = Fake::start(|_| ok("x"));
-    let scene = scene(&Start::default(), serving(&[&backend]), counter());
+    let scene = Scene::new(&Start::default(), serving(&[&backend]), counter());
     let post = request("orden-nueva", 7, 2000);
     let hidden = format!("0\r\n\r\n{}", request("consulta", 8, 2000));
     let smuggle =
@@ -309,7 +305,7 @@
         let _ = wait.lock().expect("unpoisoned").recv_timeout(LONG);
         ok("own")
     });
-    let scene = scene(&Start::default(), serving(&[&backend]), counter());
+    let scene = Scene::new(&Start::default(), serving(&[&backend]), counter());
     let text = request("consulta", 7, 3000);
     let mut first = scene.gateway.client();
     first.send(&text);
@@ -326,7 +322,7 @@
 #[test]
 fn silent_connections_make_way_and_descriptors_stay_within_the_limit() {
     let backend = Fake::start(|_| ok("x"));
-    let scene = scene(&Start { sockets: 256, ..Start::default() }, serving(&[&backend]), counter());
+    let scene = Scene::new(&Start { sockets: 256, ..Start::default() }, serving(&[&backend]), counter());
     let mut kept = scene.gateway.client();
     assert_eq!(kept.ask(&request("consulta", 7, 2000)).status(), 200);
     let mut silent = Vec::new();
@@ -345,7 +341,7 @@
 fn bodies_in_hand_stay_within_their_part_of_the_memory() {
     let backend = Fake::start(|_| ok("x"));
     // 256 KiB for bodies: four of the longest.
-    let scene = scene(&Start { memory_mb: 2, ..Start::default() }, serving(&[&backend]), counter());
+    let scene = Scene::new(&Start { memory_mb: 2, ..Start::default() }, serving(&[&backend]), counter());
     let long = request("orden-nueva", 7, 3000)
         .replace("content-length: 4\r\n\r\n{42}", "content-length: 65536\r\n\r\n");
     let begun: Vec<Client> = (0..8)
@@ -375,7 +371,7 @@
         2 => Reaction::Break,
         _ => ok("x"),
     });
-    let scene = scene(&Start::default(), serving(&[&backend]), counter());
+    let scene = Scene::new(&Start::default(), serving(&[&backend]), counter());
     let mut clients = [scene.gateway.client(), scene.gateway.client()];
     // Two at once need two connections, and leave both idle.
     clients.iter_mut().for_each(|c| c.send(&request("orden-nueva", 7, 2000)));
@@ -402,7 +398,7 @@
         changes: &[(r#""balancers":2"#, r#""balancers":350"#)],
         ..Start::default()
     };
-    let mut scene = scene(&start, entries(0).collect(), counter());
+    let mut scene = Scene::new(&start, entries(0).collect(), counter());
     let mut client = scene.gateway.client();
     assert_eq!(scene.gateway.figures()["known_backends"], 1024);
     assert_eq!(client.ask(&request("consulta", 1, 2000)).status(), 200);
--- a/src/succession.rs
+++ b/src/succession.rs
@@ -49,6 +49,13 @@
     }
 }
 
+impl Customer {
+    /// Whether it has units that the counter has not been told of.
+    fn has_unsent(&self) -> bool {
+        self.cur.unsent != 0.0 || self.prev.unsent != 0.0
+    }
+}
+
 impl Gateway {
     /// What the next process of this gateway is to know.
     pub fn legacy(&self) -> Legacy {
@@ -91,14 +98,14 @@
 
     /// Whether units are known here that the counter has not been told of.
     pub fn has_unsent(&self) -> bool {
-        self.customers.values().any(|c| c.cur.unsent != 0.0 || c.prev.unsent != 0.0)
+        self.customers.values().any(Customer::has_unsent)
     }
 
     /// Makes all syncs with unsent units due, as this process ends; appends those that the counter is seen to bear
     /// now. To be called until none is left.
     pub fn flush(&mut self, now: Micros, acts: &mut Vec<Action>) {
         self.now = self.now.max(now);
-        let unsent = self.customers.iter().filter(|(_, c)| c.cur.unsent != 0.0 || c.prev.unsent != 0.0);
+        let unsent = self.customers.iter().filter(|(_, c)| c.has_unsent());
         let unsent: Vec<CustomerId> = unsent.map(|(id, _)| *id).collect();
         unsent.into_iter().for_each(|id| self.schedule(id, 0.0));
         self.pump_syncs();
