Show that a log that can't be written kills timers or the process: failing tests

Lines at fault: eprintln! in driver/timers.rs:72 (the report, in the task that keeps all timers), process.rs:105 (reload, in the main task), and 12 more. eprintln! panics where standard error can't be written, and waits where a pipe is full.

--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -422,6 +422,8 @@
     pub peers: u32,
     /// The platform's part, where it holds the clients' socket.
     pub platform: Option<Platform>,
+    /// Where its log goes, if not into a file of the test's.
+    pub log: Option<std::os::fd::OwnedFd>,
     /// Changes to the settings: what is replaced, and by what.
     pub changes: &'static [(&'static str, &'static str)],
 }
@@ -438,6 +440,7 @@
             descriptors: None,
             peers: 0,
             platform: None,
+            log: None,
             changes: &[],
         }
     }
@@ -463,10 +466,30 @@
     text: String,
 }
 
+/// Where a gateway is to listen.
+#[derive(Clone, Copy)]
+pub struct Addresses {
+    pub clients: SocketAddr,
+    pub ops: SocketAddr,
+}
+
 impl Gateway {
+    /// Addresses that nobody uses yet.
+    pub fn next_addresses() -> Addresses {
+        Addresses { clients: free_port(), ops: free_port() }
+    }
+
     pub fn launch(start: &Start, discovery: SocketAddr, counter: SocketAddr) -> Self {
-        let ops = free_port();
-        let address = start.platform.as_ref().map_or_else(free_port, Platform::address);
+        let mut addresses = Self::next_addresses();
+        if let Some(platform) = &start.platform {
+            addresses.clients = platform.address();
+        }
+        Self::launch_at(start, addresses, discovery, counter)
+    }
+
+    /// Launches a gateway that is to listen there.
+    pub fn launch_at(start: &Start, at: Addresses, discovery: SocketAddr, counter: SocketAddr) -> Self {
+        let Addresses { clients: address, ops } = at;
         let known = start.known.as_ref().map(|k| format!("\"known\":{k},")).unwrap_or_default();
         let config = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{}.json", ops.ip()));
         let mut settings = settings(start.me, start.rate, start.burst);
@@ -497,13 +520,17 @@
             command.stdin(std::os::fd::OwnedFd::from(socket)).env("NODE_FD", "0");
             command.env("TMPDIR", &platform.folder);
         }
+        let log = match &start.log {
+            Some(log) => log.try_clone().expect("a second handle"),
+            None => std::fs::File::create(config.with_extension("log")).expect("a place for the log").into(),
+        };
         let child = command
             .env("NODE_CONFIG", &config)
             .env("NODE_NAME", format!("n{}", start.me))
             .env("NODE_LISTEN", address.to_string())
             .env("NODE_DISCOVERY", discovery.to_string())
             .env("NODE_OPS", ops.to_string())
-            .stderr(std::fs::File::create(config.with_extension("log")).expect("a place for the log"))
+            .stderr(log)
             .spawn()
             .expect("the program starts");
         Gateway { address, ops, child, config, text }
--- /dev/null
+++ b/node/tests/log_failures.rs
@@ -0,0 +1,61 @@
+//! A log that can't be written: the gateway serves all the same.
+
+mod common;
+
+use common::*;
+use std::fs::File;
+use std::io::Write;
+use std::os::fd::OwnedFd;
+use std::time::{Duration, Instant};
+
+/// A gateway whose log goes there, with one backend.
+fn scene(log: OwnedFd, backend: &Fake) -> Scene {
+    let start = Start { log: Some(log), ..Start::default() };
+    Scene::new(&start, serving(&[backend]), counter())
+}
+
+/// Guards against a process that ends because its log's disk is full.
+#[test]
+fn a_log_on_a_full_disk_ends_nothing() {
+    let full = File::options().write(true).open("/dev/full").expect("a disk that is full");
+    let backend = Fake::start(|_| ok("x"));
+    let mut scene = scene(full.into(), &backend);
+    // Each reload is told in the log.
+    for _ in 0..3 {
+        scene.gateway.reload(scene.discovery.fake.address, scene.counter.address);
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    assert_eq!(scene.gateway.client().ask(&request("consulta", 9, 1_000)).status(), 200);
+    scene.gateway.terminate();
+    assert!(scene.gateway.wait().success());
+}
+
+/// Guards against timers that stop with the first report that nobody reads: no deadline would be kept any more.
+#[test]
+fn deadlines_are_kept_after_the_reader_of_the_log_has_gone() {
+    let (reader, writer) = std::io::pipe().expect("a pipe");
+    let backend = Fake::start(|_| Reaction::Silence);
+    let scene = scene(writer.into(), &backend);
+    drop(reader);
+    // The report comes every 5 s with traffic.
+    let until = Instant::now() + Duration::from_millis(6_500);
+    while Instant::now() < until {
+        let asked = Instant::now();
+        let answer = scene.gateway.client().ask(&request("orden-nueva", 9, 300));
+        assert_eq!(answer.status(), 504);
+        assert!(asked.elapsed() < Duration::from_secs(1), "answered after {:?}", asked.elapsed());
+    }
+}
+
+/// Guards against a process that waits for the reader of its log, and lets all clients wait with it.
+#[test]
+fn a_log_that_nobody_reads_holds_up_nobody() {
+    let (_reader, mut writer) = std::io::pipe().expect("a pipe");
+    let filler = writer.try_clone().expect("a second handle");
+    // Once it is full, the last write waits for good.
+    std::thread::spawn(move || while writer.write_all(&[b'x'; 4096]).is_ok() {});
+    std::thread::sleep(Duration::from_millis(200));
+    let backend = Fake::start(|_| ok("x"));
+    let scene = scene(filler.into(), &backend);
+    assert_eq!(scene.gateway.client().ask(&request("consulta", 9, 1_000)).status(), 200);
+}
