Show that a process refuses to start where an address is taken for a moment: failing tests

Lines at fault: process.rs:59 (TcpListener::bind of the clients' address) and :73 (the operators') end the process at the first error; :73 also before any client is served.

--- /dev/null
+++ b/node/tests/start_failures.rs
@@ -0,0 +1,38 @@
+//! What a process needs at its start and can't have for a moment.
+
+mod common;
+
+use common::*;
+use std::net::TcpListener;
+use std::time::Duration;
+
+/// An address is taken for so long after the gateway's start.
+const TAKEN: Duration = Duration::from_millis(1_200);
+
+/// Guards against a process that refuses to start because the one before still holds its address, or because this
+/// machine is out of something for a moment.
+#[test]
+fn the_clients_address_is_waited_for() {
+    let backend = Fake::start(|_| ok("x"));
+    let (discovery, counter) = (Discovery::start(serving(&[&backend])), counter());
+    let (start, before) = (Start::default(), Gateway::next_addresses());
+    let holder = TcpListener::bind(before.clients).expect("the address");
+    let gateway = Gateway::launch_at(&start, before, discovery.fake.address, counter.address);
+    std::thread::sleep(TAKEN);
+    drop(holder);
+    assert_eq!(gateway.first_client().ask(&request("consulta", 9, 1_000)).status(), 200);
+}
+
+/// The same for the operators' address, which clients need not wait for.
+#[test]
+fn the_operators_address_is_waited_for_while_clients_are_served() {
+    let backend = Fake::start(|_| ok("x"));
+    let (discovery, counter) = (Discovery::start(serving(&[&backend])), counter());
+    let (start, before) = (Start::default(), Gateway::next_addresses());
+    let holder = TcpListener::bind(before.ops).expect("the address");
+    let gateway = Gateway::launch_at(&start, before, discovery.fake.address, counter.address);
+    discovery.settled();
+    assert_eq!(gateway.first_client().ask(&request("consulta", 9, 1_000)).status(), 200);
+    drop(holder);
+    gateway.serves();
+}
