Wait for an address that can't be had at the start, and run lasting tasks again that panic

Cause: the first error of bind or socket ended the process, the operators' address before any client was served. And a panic in a task that has to last (timers, connections, list, bounds, accept) left a process that served nobody, as the log's faults did.

Change: node/src/supervisor.rs. Lasting tasks begin anew after a panic, are counted and logged.

--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod ops;
 pub mod process;
 pub mod server;
+pub mod supervisor;
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -6,7 +6,8 @@
 use crate::counter::Counter;
 use crate::handover::{Handover, Message};
 use crate::server::Server;
-use crate::{discovery, driver, endpoints, figures, handover, ops};
+use crate::supervisor::Supervisor;
+use crate::{discovery, driver, endpoints, figures, handover, ops, supervisor};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -28,6 +29,8 @@
 /// Where another process serves, the list is waited for so long before this one does.
 const FIRST_LIST: Duration = Duration::from_millis(1_500);
 const LAST_BYTES: Duration = Duration::from_millis(200);
+/// The clients' address is waited for this long: the process has 30 s to be ready.
+const MAX_LISTEN_WAIT: Duration = Duration::from_secs(20);
 /// Units that the counter has not been told of are given so long to get there.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
 const FLUSH_INTERVAL: Duration = Duration::from_millis(5);
@@ -49,7 +52,7 @@
     let (alone, paired, descriptors) = (setup.alone, setup.paired, setup.descriptors);
     let listener = match setup.inherited {
         Some(fd) => handover::inherited(fd).and_then(|l| TcpListener::from_std(l).map_err(|e| e.to_string())),
-        None => TcpListener::bind(setup.listen).await.map_err(|e| format!("{}: {e}", setup.listen)),
+        None => supervisor::listen("listen", setup.listen, MAX_LISTEN_WAIT).await,
     }?;
     let pool = Pool::new(&setup);
     let counter = Counter::new(setup.counter, setup.module.counter, alone.counter);
@@ -60,34 +63,58 @@
     let none = endpoints::List { index: 0, snapshot: true, endpoints: Vec::new() };
     let known = setup.known.as_ref().filter(|list| !list.endpoints.is_empty()).map(|list| list.index);
     driver.backends_known(setup.known.unwrap_or(none));
+    let supervisor = Rc::new(Supervisor::default());
     let timers = driver.clone();
-    tokio::task::spawn_local(async move { timers.keep_time().await });
+    supervisor.run("timers", move || {
+        let timers = timers.clone();
+        async move { timers.keep_time().await }
+    });
 
     let bodies = Budget::new(setup.body_bytes);
     let server = Server::new(driver.clone(), figures.clone(), alone.clients, bodies);
     let others = Handover::join(driver.clone(), setup.meet).await;
     if let Some(address) = setup.ops {
-        let door = TcpListener::bind(address).await.map_err(|e| format!("ops {address}: {e}"))?;
         let ops =
             ops::Door::new(driver.clone(), server.clone(), figures, others.clone(), setup.ops_connections);
-        tokio::task::spawn_local(ops.accept(door));
+        // Clients are served also while operators can't call.
+        supervisor.run("ops", move || {
+            let ops = ops.clone();
+            async move {
+                match supervisor::listen("ops", address, Duration::MAX).await {
+                    Ok(listener) => ops.accept(listener).await,
+                    Err(why) => log::error!("{why}; operators can't call"),
+                }
+            }
+        });
     }
     let (discovery, followed) = watch::channel(setup.discovery);
     // What another process has handed over is checked against the whole list.
     let held = known.filter(|_| !others.paired());
     let terms = discovery::Terms::of(driver.module());
-    tokio::task::spawn_local(discovery::follow(followed, driver.clone(), terms, held, setup.seed));
-    tokio::task::spawn_local(server.clone().watch());
-    tokio::task::spawn_local(share(alone, paired, others.clone(), server.clone(), pool, counter.clone()));
+    let follower = driver.clone();
+    supervisor.run("discovery", move || {
+        discovery::follow(followed.clone(), follower.clone(), terms, held, setup.seed)
+    });
+    let watched = server.clone();
+    supervisor.run("connections", move || watched.clone().watch());
+    let (sharing, sharer, shared_counter) = (others.clone(), server.clone(), counter.clone());
+    supervisor.run("bounds", move || {
+        share(alone, paired, sharing.clone(), sharer.clone(), pool.clone(), shared_counter.clone())
+    });
     let (first, accepts, serving) = (driver.clone(), server.clone(), others.clone());
     let (stop, last) = watch::channel(false);
-    let accept = tokio::task::spawn_local(async move {
-        // Another process serves: there is time to hear what discovery says now.
-        if serving.paired() {
-            let _ = timeout(FIRST_LIST, first.first_list()).await;
+    let listener = Rc::new(listener);
+    let accept = supervisor.run("accept", move || {
+        let (first, accepts, serving) = (first.clone(), accepts.clone(), serving.clone());
+        let (listener, last) = (listener.clone(), last.clone());
+        async move {
+            // Another process serves: there is time to hear what discovery says now.
+            if serving.paired() {
+                let _ = timeout(FIRST_LIST, first.first_list()).await;
+            }
+            serving.tell(&Message::Serving);
+            accepts.accept(&listener, last).await;
         }
-        serving.tell(&Message::Serving);
-        accepts.accept(listener, last).await;
     });
     log::info!("{}: listening on {}, {descriptors} descriptors", setup.name, setup.listen);
 
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -135,7 +135,7 @@
     /// Accepts until it is told that it was the last. Danger: a connection that has come is owed an answer, also
     /// one that waits for its place or in the listener's line, which ends with the listener: it is emptied, unless
     /// another process goes on with it.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener, mut last: watch::Receiver<bool>) {
+    pub async fn accept(self: Rc<Self>, listener: &TcpListener, mut last: watch::Receiver<bool>) {
         let troubles = LimitedLog::new(1);
         self.open.set(true);
         loop {
@@ -144,7 +144,7 @@
                 return;
             } else if stops {
                 // The runtime may not have been told yet of one that the kernel holds: the kernel is asked.
-                match SockRef::from(&listener).accept() {
+                match SockRef::from(listener).accept() {
                     Ok((socket, _)) => take(socket),
                     Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
                     Err(e) => Err(e),
