--- a/node/tests/start_failures.rs
+++ b/node/tests/start_failures.rs
@@ -4,7 +4,7 @@
 
 use common::*;
 use std::net::TcpListener;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// An address is taken for so long after the gateway's start.
 const TAKEN: Duration = Duration::from_millis(1_200);
@@ -20,7 +20,13 @@
     let gateway = Gateway::launch_at(&start, before, discovery.fake.address, counter.address);
     std::thread::sleep(TAKEN);
     drop(holder);
-    assert_eq!(gateway.first_client().ask(&request("consulta", 9, 1_000)).status(), 200);
+    // The front admits a gateway once it says that it is ready; before, it may not have a list.
+    let until = Instant::now() + LONG;
+    while gateway.health() != Some(200) {
+        assert!(Instant::now() < until, "the gateway does not become ready: {}", gateway.log());
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    assert_eq!(gateway.client().ask(&request("consulta", 9, 1_000)).status(), 200);
 }
 
 /// The same for the operators' address, which clients need not wait for.
