Count a request's time from when its last byte came, not from when it is read

Cause: Shared::request took now + wait as the deadline; what stood unread in the socket had that time once more.

Change: TCP_INFO tells how long ago the last data came over the client's connection (node/src/tcp_info.rs); that is taken off the client's time, for whole requests and at the end of bodies that are passed on. Where the kernel does not tell, it counts as before. Pipelined data that came later makes the figure too small, never too large.

--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -21,3 +21,4 @@
 pub mod process;
 pub mod server;
 pub mod supervisor;
+pub mod tcp_info;
--- a/node/src/meter.rs
+++ b/node/src/meter.rs
@@ -1,6 +1,7 @@
 //! Sockets that know what has gone through them.
 
 use crate::body::budget::{Budget, Reservation};
+use crate::tcp_info::since_last_data;
 use bytes::{Buf, BufMut, BytesMut};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -11,6 +12,7 @@
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{ready, Context, Poll, Waker};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -161,6 +163,11 @@
             && self.peek().is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// How long ago the last bytes came, whether they have been read or not.
+    pub fn since_last_data(&self) -> Duration {
+        self.stream().ok().and_then(|stream| since_last_data(&stream)).unwrap_or_default()
+    }
+
     fn peek(&self) -> io::Result<usize> {
         SockRef::from(&*self.stream()?).peek(&mut [MaybeUninit::uninit()])
     }
--- a/node/src/server/handler.rs
+++ b/node/src/server/handler.rs
@@ -90,6 +90,7 @@
         };
         match received {
             Received::Whole { payload, taken } => {
+                let terms = Terms { wait: left_of(terms.wait, client), ..terms };
                 let ticket = self.submit(message(head, payload, terms.wait, client), terms);
                 match ticket {
                     Ok(mut ticket) => self.reply(ticket.answer().await, label, taken, client).await,
@@ -197,7 +198,7 @@
             upload.complete();
             client.enter(Phase::Work);
             let taken = self.figures.take();
-            self.driver.uploaded(&ticket, wait);
+            self.driver.uploaded(&ticket, left_of(wait, client));
             return self.reply(ticket.answer().await, request, taken, client).await;
         };
         upload.interrupt(UploadInterruption::AnsweredEarly);
@@ -258,6 +259,12 @@
     }
 }
 
+/// What is left of a request's time, which counts from when its last byte came. Danger: that may be long before it is
+/// read: in the listener's line, behind a process that was held up, on a core that others use.
+fn left_of(wait: Micros, client: &ClientConnection) -> Micros {
+    wait.saturating_sub(client.meter.since_last_data().as_micros() as Micros)
+}
+
 /// A refusal, with when to come again where that is known (in microseconds; 0: it is not).
 fn refused(wait: Micros, tried: bool) -> Answer {
     let status = if tried { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::TOO_MANY_REQUESTS };
