Show that an upgrade behind a failed one loses bans and spends quotas twice: failing tests

Its log: 'handover: none before this one (Connection refused)': the two do not know of each other, so each also spends the gateway's whole part.

Lines at fault: handover.rs, bind() moves the new process's socket over the old one's name, and wait() binds once: where the new process dies, or the file goes, the old process can't be found any more. Where the folder is away at the start, it never can.

--- a/node/tests/handover.rs
+++ b/node/tests/handover.rs
@@ -359,3 +359,57 @@
     std::thread::sleep(Duration::from_millis(1_500));
     assert_eq!(scene.numbers.sum(), 10.0);
 }
+
+/// Waits until the file is there.
+fn exists(path: &std::path::Path) {
+    let until = Instant::now() + LONG;
+    while !path.exists() {
+        assert!(Instant::now() < until, "{} is not there", path.display());
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// Guards against an upgrade that fails and is begun again: the second new process knew of no ban, and both processes
+/// spent the whole of the gateway's part.
+#[test]
+fn the_process_that_follows_a_failed_one_is_told_of_bans() {
+    let (one, other) = (Fake::start(|_| ok("x")), Fake::start(|_| ok("x")));
+    let scene = Scene::new(&[&one, &other]);
+    let old = scene.process();
+    assert_eq!(old.call("PUT /backends/disable?id=s-0").status(), 200);
+    // Killed, as a version is that does not come up well.
+    drop(scene.process());
+    let until = Instant::now() + LONG;
+    while !old.log().contains("the other process is gone") {
+        assert!(Instant::now() < until, "the end of the other process is not seen: {}", old.log());
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let new = scene.process();
+    assert_eq!(new.figures()["skipped_backends"], 1, "{}", new.log());
+    assert!(new.log().contains("another process of this gateway serves"), "{}", new.log());
+}
+
+/// Guards against a folder that is cleaned up: a process could not be found any more.
+#[test]
+fn the_place_to_meet_is_made_again_where_it_is_removed() {
+    let (one, other) = (Fake::start(|_| ok("x")), Fake::start(|_| ok("x")));
+    let scene = Scene::new(&[&one, &other]);
+    let old = scene.process();
+    assert_eq!(old.call("PUT /backends/disable?id=s-0").status(), 200);
+    std::fs::remove_file(scene.socket()).expect("a socket");
+    exists(&scene.socket());
+    assert_eq!(scene.process().figures()["skipped_backends"], 1);
+}
+
+/// Guards against a place to meet that can't be had at the start, and is not looked for again.
+#[test]
+fn the_place_to_meet_is_made_once_its_folder_is_there() {
+    let (one, other) = (Fake::start(|_| ok("x")), Fake::start(|_| ok("x")));
+    let scene = Scene::new(&[&one, &other]);
+    std::fs::remove_dir_all(scene.folder()).expect("a folder");
+    let old = scene.process();
+    assert_eq!(old.call("PUT /backends/disable?id=s-0").status(), 200);
+    std::fs::create_dir_all(scene.folder()).expect("a folder");
+    exists(&scene.socket());
+    assert_eq!(scene.process().figures()["skipped_backends"], 1);
+}
