Keep the place where the next process finds this one, whatever becomes of it

Cause: the socket was bound once; a new process moved its own over that name, and took the place with it when it died.

Change: node/src/handover/meeting_point.rs. A process looks once a second whether the place is there, and at once when another process of the gateway has gone; it binds anew where the file is missing or nobody answers there, and lets it be where somebody does.

--- a/node/src/handover.rs
+++ b/node/src/handover.rs
@@ -1,10 +1,13 @@
 //! One gateway, two processes: the clients' socket that the platform holds, and what the processes tell
 //! each other while both run, as lines of JSON on a Unix socket in `$TMPDIR`.
 
+mod meeting_point;
+
 use crate::config::Held;
 use crate::driver::Shared;
 use crate::endpoints::List;
 use caperwind::{Legacy, Spent};
+use meeting_point::MeetingPoint;
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -16,8 +19,8 @@
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::unix::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{UnixListener, UnixStream};
-use tokio::sync::{mpsc, watch};
+use tokio::net::UnixStream;
+use tokio::sync::{mpsc, watch, Notify};
 use tokio::task::{AbortHandle, JoinHandle};
 use tokio::time::{sleep, timeout};
 
@@ -29,6 +32,10 @@
 const MAX_MESSAGE_BYTES: u64 = 8 << 20;
 /// Who comes must say something this soon: it is to be ready in 6 s, and says so.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(10);
+/// After an error, the next process is let in so much later.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+/// How often it is looked whether other processes can still find this one.
+const MEETING_POINT_INTERVAL: Duration = Duration::from_secs(1);
 /// Processes of one gateway that are spoken to: one that came before and one that comes after.
 const MAX_PEERS: usize = 2;
 
@@ -98,6 +105,8 @@
     held: watch::Sender<Option<Held>>,
     /// The number of a successor that serves.
     successor: Cell<Option<u64>>,
+    /// Told when the talk with another process is over.
+    departed: Notify,
 }
 
 impl Handover {
@@ -105,7 +114,8 @@
     pub async fn join(driver: Shared, path: Option<PathBuf>) -> Rc<Self> {
         let (peers, next, successor) = (RefCell::default(), Cell::new(0), Cell::new(None));
         let held = watch::channel(None).0;
-        let this = Rc::new(Handover { driver, path, peers, next, held, successor });
+        let departed = Notify::new();
+        let this = Rc::new(Handover { driver, path, peers, next, held, successor, departed });
         let Some(path) = this.path.clone() else { return this };
         // Absent, stale, silent or cut off: this process begins with what it has been told at its start.
         match timeout(STATE_TIMEOUT, this.meet(&path)).await {
@@ -113,10 +123,7 @@
             Ok(Err(why)) => log::info!("handover: none before this one ({why})"),
             Err(_) => log::info!("handover: the other process does not answer"),
         }
-        match bind(&path) {
-            Ok(listener) => drop(tokio::task::spawn_local(this.clone().wait(listener))),
-            Err(why) => log::info!("handover: {}: {why}; no other process can take over", path.display()),
-        }
+        tokio::task::spawn_local(this.clone().wait(MeetingPoint::claim(path)));
         this
     }
 
@@ -191,25 +198,33 @@
         Ok(())
     }
 
-    /// Tells each process that comes what this one knows.
-    async fn wait(self: Rc<Self>, listener: UnixListener) {
+    /// Tells each process that comes what this one knows, and sees to it that the next one can come.
+    async fn wait(self: Rc<Self>, mut point: MeetingPoint) {
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                sleep(Duration::from_millis(100)).await;
-                continue;
-            };
-            if self.peers.borrow().len() >= MAX_PEERS && !self.make_way() {
-                continue;
+            tokio::select! {
+                come = point.accept() => match come {
+                    Ok(stream) => self.greet(stream),
+                    Err(_) => sleep(ACCEPT_PAUSE).await,
+                },
+                () = self.departed.notified() => point.restore_after_departure().await,
+                () = sleep(MEETING_POINT_INTERVAL) => point.restore_missing(),
             }
-            let (list, barred) = self.driver.listed();
-            let (draining, module) = (self.driver.draining(), self.driver.legacy());
-            let state = Message::State(Box::new(State { list, barred, draining, module }));
-            let (from, to) = stream.into_split();
-            let tell = self.talk(BufReader::new(from), to, false);
-            drop(tell.send(line(&state)));
         }
     }
 
+    /// Tells a process that has come what this one knows.
+    fn greet(self: &Rc<Self>, stream: UnixStream) {
+        if self.peers.borrow().len() >= MAX_PEERS && !self.make_way() {
+            return;
+        }
+        let (list, barred) = self.driver.listed();
+        let (draining, module) = (self.driver.draining(), self.driver.legacy());
+        let state = Message::State(Box::new(State { list, barred, draining, module }));
+        let (from, to) = stream.into_split();
+        let tell = self.talk(BufReader::new(from), to, false);
+        drop(tell.send(line(&state)));
+    }
+
     /// Lets go of the first that has said nothing: a process that hangs must not keep another one from its place.
     fn make_way(&self) -> bool {
         let silent = self.peers.borrow().iter().find(|(_, o)| !o.heard).map(|(id, _)| *id);
@@ -254,6 +269,7 @@
         peer.writer.abort();
         self.successor.set(self.successor.get().filter(|s| *s != id));
         self.changed();
+        self.departed.notify_one();
         log::info!("handover: the other process is gone");
     }
 
@@ -291,13 +307,3 @@
     from.take(MAX_MESSAGE_BYTES).read_until(b'\n', &mut line).await.ok()?;
     serde_json::from_slice(&line).ok()
 }
-
-/// Takes the place of the process before, whose successor has come. Danger: one that looks for it at this
-/// moment must find either, so the new socket moves over the old name.
-fn bind(path: &Path) -> std::io::Result<UnixListener> {
-    let new = path.with_extension(format!("{}", std::process::id()));
-    let _ = std::fs::remove_file(&new);
-    let listener = UnixListener::bind(&new)?;
-    std::fs::rename(&new, path)?;
-    Ok(listener)
-}
