--- a/node/tests/restart.rs
+++ b/node/tests/restart.rs
@@ -246,3 +246,27 @@
     let _ = scene.gateway.wait();
     assert_eq!(numbers.sum(), 9.0);
 }
+
+/// Guards against a reload that comes as the process ends: what it has not told the counter went to the address that
+/// had been left.
+#[test]
+fn a_reload_counts_also_while_the_process_ends() {
+    let backend = Fake::start(|_| ok("x"));
+    let (left, numbers) = (Fake::start(|_| Reaction::Answer(answer("503 No", "", ""))), Numbers::default());
+    let adds = numbers.clone();
+    let moved = Fake::start(move |call| ok(&adds.add(call)));
+    let discovery = Discovery::start(serving(&[&backend]));
+    let start = Start { rate: 100.0, burst: 6000.0, ..Start::default() };
+    let mut gateway = Gateway::start(&start, discovery.fake.address, left.address);
+    discovery.settled();
+    let mut client = gateway.client();
+    for customer in 0..8 {
+        assert_eq!(client.ask(&request("consulta", customer, 3000)).status(), 200);
+    }
+    let told = Instant::now();
+    gateway.terminate();
+    std::thread::sleep(Duration::from_millis(100));
+    gateway.reload(discovery.fake.address, moved.address);
+    ends_well(&mut gateway, told);
+    assert_eq!(numbers.sum(), 8.0, "{}", numbers.sum());
+}
