Hold a repeat to its window as it begins, and hear a reload while the process ends

Repeats: Action::Send names the end of the window (begin_by); an attempt that has no connection by then never begins, and its request is refused or fails at once. The module's rules on repeating and refusing stand in src/repeats.rs, which policy names; Send and Refuse tell why, for logs and figures to come.

Reload: SIGHUP is read in a task of its own for as long as the process runs.

--- a/benchlink/src/wire.rs
+++ b/benchlink/src/wire.rs
@@ -189,11 +189,11 @@
             std::array::from_fn(|i| if i < 4 { b.address[i] } else { port[i - 4] })
         };
         match action {
-            Action::Send { id, backend, timeout } => {
+            Action::Send { id, backend, timeout, .. } => {
                 let within = micros(timeout.unwrap_or(0)).to_le_bytes();
                 self.put(codes::TRY, instance, &[&id.0.to_le_bytes(), &place(backend), &within]);
             }
-            Action::Refuse { id, wait } => {
+            Action::Refuse { id, wait, .. } => {
                 let wait = micros(*wait).to_le_bytes();
                 self.put(codes::REJECT, instance, &[&id.0.to_le_bytes(), &wait]);
             }
--- a/node/src/backend.rs
+++ b/node/src/backend.rs
@@ -5,6 +5,6 @@
 pub mod message;
 pub mod pool;
 
-pub use attempt::{ClientClosed, Finish};
+pub use attempt::{AttemptLimits, ClientClosed, Finish};
 pub use message::{Message, Payload};
 pub use pool::Pool;
--- a/node/src/backend/attempt.rs
+++ b/node/src/backend/attempt.rs
@@ -18,7 +18,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{timeout, Instant};
+use tokio::time::{timeout, timeout_at, Instant};
 
 /// An answer in chunks, whose length is not told, is held for so long; what is not whole then is passed on.
 const GATHER_TIME: Duration = Duration::from_millis(25);
@@ -49,6 +49,21 @@
 /// The client has closed its connection: nothing was sent.
 pub struct ClientClosed;
 
+/// How long an attempt has.
+pub struct AttemptLimits {
+    /// Its answer is waited for until then.
+    pub deadline: Deadline,
+    /// It may not begin from then on, however long its connection takes to come up.
+    pub begin_by: Option<Instant>,
+}
+
+impl AttemptLimits {
+    /// Whether it may not begin any more.
+    fn too_late(&self) -> bool {
+        self.begin_by.is_some_and(|by| Instant::now() >= by)
+    }
+}
+
 /// What is known of an answer beside itself.
 struct Received {
     id: BackendId,
@@ -101,13 +116,14 @@
 
 impl Pool {
     /// One attempt: the message goes once, over one connection. Dropping the future closes that
-    /// connection, which is how an attempt is given up. Its answer is waited for until `deadline`.
+    /// connection, which is how an attempt is given up.
     pub async fn attempt(
         self: &Rc<Self>,
         id: BackendId,
         message: &Message,
-        deadline: &Deadline,
+        limits: &AttemptLimits,
     ) -> Result<Finish, ClientClosed> {
+        let deadline = &limits.deadline;
         // Danger: an attempt that begins after its client has closed is work for nobody, and counts.
         if message.client.peer_closed() {
             return Err(ClientClosed);
@@ -119,12 +135,16 @@
             let idle = reused.as_ref().map(|r| r.1);
             let mut connection = match reused.take() {
                 Some((connection, _)) => connection,
-                None => match self.open(id).await {
+                None => match self.open_by(id, limits.begin_by).await {
                     Ok(_) if message.client.peer_closed() => return Err(ClientClosed),
                     Ok(connection) => connection,
                     Err(outcome) => return Ok(outcome.into()),
                 },
             };
+            // Danger: the window of a repeat may have ended while the connection came up.
+            if limits.too_late() {
+                return Ok(Outcome::Moot.into());
+            }
             // Danger: the backend may have begun to drain, or be elsewhere, since the connection was begun.
             match self.era(id) {
                 None => return Ok(Outcome::Full.into()),
@@ -162,6 +182,14 @@
         }
     }
 
+    /// A new connection, which is not waited for beyond the time by which an attempt must begin.
+    async fn open_by(&self, id: BackendId, begin_by: Option<Instant>) -> Result<Connection, Outcome> {
+        match begin_by {
+            None => self.open(id).await,
+            Some(by) => timeout_at(by, self.open(id)).await.unwrap_or(Err(Outcome::Moot)),
+        }
+    }
+
     /// Reads an answer: to its end where it is small, else its beginning, with the rest to follow. A spoilt one
     /// may have run.
     async fn read(self: &Rc<Self>, response: Response<Incoming>, received: Received) -> Finish {
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -16,7 +16,7 @@
 use backend_list::{BackendList, Listed};
 use caperwind::{
     Action, Arrival, BackendId, BackendRow, BackendState, Config, CountName, Event, Gateway, Legacy,
-    ListKind, Micros, Reckoned, RequestId, Spent,
+    ListKind, Micros, Reckoned, RefusalReason, RequestId, Spent,
 };
 use hyper::{Response, StatusCode};
 use report::Tally;
@@ -41,6 +41,7 @@
     Refused {
         wait: Micros,
         tried: bool,
+        why: RefusalReason,
     },
     /// No promise.
     Failed,
--- a/node/src/driver/actions.rs
+++ b/node/src/driver/actions.rs
@@ -2,8 +2,17 @@
 
 use super::timers::Due;
 use super::{Core, Out, Reply, Shared};
-use crate::backend::{ClientClosed, Finish};
-use caperwind::{Action, AttemptIx, BackendId, Ended, Event, Micros, Outcome, RequestId};
+use crate::backend::{AttemptLimits, ClientClosed, Finish};
+use caperwind::{Action, AttemptIx, BackendId, Ended, Event, Micros, Outcome, RequestId, SendReason};
+
+/// An attempt that the module wants.
+struct SendOrder {
+    id: RequestId,
+    backend: BackendId,
+    timeout: Option<Micros>,
+    begin_by: Option<Micros>,
+    why: SendReason,
+}
 
 impl Shared {
     /// Tells the counter of as many units as it bears: the process ends.
@@ -31,10 +40,13 @@
 
     fn act(&self, core: &mut Core, now: Micros, action: Action) {
         match action {
-            Action::Send { id, backend, timeout } => self.send(core, now, id, backend, timeout),
-            Action::Refuse { id, wait } => {
+            Action::Send { id, backend, timeout, begin_by, why } => {
+                let order = SendOrder { id, backend, timeout, begin_by, why };
+                self.send(core, now, order);
+            }
+            Action::Refuse { id, wait, why } => {
                 let tried = core.requests.get(&id).is_some_and(|r| r.attempts > 0);
-                self.answer(core, id, Reply::Refused { wait, tried });
+                self.answer(core, id, Reply::Refused { wait, tried, why });
             }
             Action::Fail { id } => self.answer(core, id, Reply::Failed),
             Action::Cancel { id, attempt } => {
@@ -64,7 +76,8 @@
         }
     }
 
-    fn send(&self, core: &mut Core, now: Micros, id: RequestId, backend: BackendId, limit: Option<Micros>) {
+    fn send(&self, core: &mut Core, now: Micros, order: SendOrder) {
+        let SendOrder { id, backend, timeout, begin_by, why } = order;
         let Some(open) = core.requests.get_mut(&id) else { return };
         let attempt = open.attempts;
         open.attempts = attempt.saturating_add(1);
@@ -75,12 +88,15 @@
             core.events.push_back(ended(id, attempt, backend, 0, open.reply.is_none(), spent, moot));
             return;
         }
-        if let Some(limit) = limit {
+        log::debug!("request {:?}: attempt {attempt} at {backend:?}, {why:?}", open.name);
+        if let Some(limit) = timeout {
             core.timers.insert((now + limit, Due::Attempt(id, attempt)));
         }
-        let (driver, message, last) = (self.clone(), open.message.clone(), open.last.clone());
+        let (driver, message) = (self.clone(), open.message.clone());
+        let begin_by = begin_by.map(|by| self.0.clock.instant(by));
+        let limits = AttemptLimits { deadline: open.last.clone(), begin_by };
         let task = tokio::task::spawn_local(async move {
-            let finish = driver.0.pool.attempt(backend, &message, &last).await;
+            let finish = driver.0.pool.attempt(backend, &message, &limits).await;
             let mut core = driver.0.core.borrow_mut();
             let now = driver.0.clock.now();
             match finish {
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -8,11 +8,12 @@
 use crate::server::Server;
 use crate::supervisor::Supervisor;
 use crate::{discovery, driver, endpoints, figures, handover, ops, supervisor};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, LocalOptions};
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout, Instant};
 
@@ -47,7 +48,7 @@
 async fn serve() -> Result<(), String> {
     // Danger: unhandled, either signal ends the process. Handlers come first and stay to the end.
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
-    let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
+    let hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let setup = Setup::from_env()?;
     let (alone, paired, descriptors) = (setup.alone, setup.paired, setup.descriptors);
     let listener = match setup.inherited {
@@ -118,23 +119,9 @@
     });
     log::info!("{}: listening on {}, {descriptors} descriptors", setup.name, setup.listen);
 
-    loop {
-        tokio::select! {
-            _ = term.recv() => break,
-            _ = hangup.recv() => match Reload::from_file() {
-                Ok(new) => {
-                    if let Some(to) = new.discovery {
-                        discovery.send_replace(to);
-                    }
-                    if let Some(to) = new.counter {
-                        counter.move_to(to);
-                    }
-                    log::info!("reloaded: discovery {:?}, counter {:?}", new.discovery, new.counter);
-                }
-                Err(why) => log::error!("reload: {why}; the old settings stay"),
-            },
-        }
-    }
+    // Danger: a reload counts also while the process ends: what it owes the counter goes to where that is now.
+    tokio::task::spawn_local(reload_on(hangup, discovery, counter.clone()));
+    let _ = term.recv().await;
     let began = Instant::now();
     driver.close_within(last_answer.as_micros() as u64);
     if others.succeeded() {
@@ -182,6 +169,24 @@
     std::process::exit(0);
 }
 
+/// Reads the file anew at each SIGHUP, for as long as the process runs.
+async fn reload_on(mut hangup: Signal, discovery: watch::Sender<SocketAddr>, counter: Rc<Counter>) {
+    while hangup.recv().await.is_some() {
+        match Reload::from_file() {
+            Ok(new) => {
+                if let Some(to) = new.discovery {
+                    discovery.send_replace(to);
+                }
+                if let Some(to) = new.counter {
+                    counter.move_to(to);
+                }
+                log::info!("reloaded: discovery {:?}, counter {:?}", new.discovery, new.counter);
+            }
+            Err(why) => log::error!("reload: {why}; the old settings stay"),
+        }
+    }
+}
+
 /// Tells the counter of the units that it has not been told of: no other process of this gateway can.
 async fn flush_units(driver: &driver::Shared, counter: &Counter, until: Instant) {
     while driver.counts() && Instant::now() < until {
--- a/node/src/server/handler.rs
+++ b/node/src/server/handler.rs
@@ -243,7 +243,7 @@
                 };
                 Response::from_parts(head, body)
             }
-            Reply::Refused { wait, tried } => {
+            Reply::Refused { wait, tried, why: _ } => {
                 self.figures.settle(request.class, Ending::Dropped);
                 refused(wait, tried)
             }
--- a/node/tests/pool.rs
+++ b/node/tests/pool.rs
@@ -4,7 +4,7 @@
 
 use badgerglade::backend::load_report::{parse_billed, parse_load};
 use badgerglade::backend::pool::shorter;
-use badgerglade::backend::{ClientClosed, Finish, Message, Payload, Pool};
+use badgerglade::backend::{AttemptLimits, ClientClosed, Finish, Message, Payload, Pool};
 use badgerglade::body::budget::Budget;
 use badgerglade::body::download::Deadline;
 use badgerglade::config::{Bounds, Setup};
@@ -77,8 +77,12 @@
     (there, message)
 }
 
+fn limits(deadline: Instant) -> AttemptLimits {
+    AttemptLimits { deadline: Deadline::new(deadline), begin_by: None }
+}
+
 async fn attempt(pool: &Rc<Pool>, message: &Message) -> Result<Finish, ClientClosed> {
-    pool.attempt(ID, message, &Deadline::new(Instant::now() + LONG)).await
+    pool.attempt(ID, message, &limits(Instant::now() + LONG)).await
 }
 
 /// Guards against an attempt for a client that has just closed its connection, of which the runtime has not been
@@ -116,7 +120,7 @@
         let listener = TcpListener::bind((own_address(), 0)).await.expect("a free port");
         let pool = pool(listener.local_addr().expect("an address"), 8);
         let (goes, message) = client().await;
-        let last = Deadline::new(Instant::now() + LONG);
+        let last = limits(Instant::now() + LONG);
         let mut begun = std::pin::pin!(pool.attempt(ID, &message, &last));
         // Begun, and no further: the runtime has not been told of the connection.
         std::future::poll_fn(|cx| std::task::Poll::Ready(begun.as_mut().poll(cx).is_pending())).await;
--- a/src/api.rs
+++ b/src/api.rs
@@ -654,6 +654,52 @@
     },
 }
 
+/// Why an attempt is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendReason {
+    /// The request's first one.
+    First,
+    /// The one before ended so, with no answer for the client.
+    Retry(Outcome),
+    /// The one that is out is late.
+    Hedge,
+}
+
+/// Why a request is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RefusalReason {
+    /// The customer's estimate is over its quota.
+    OverQuota,
+    /// There is no fresh total to go by, and own use is over this gateway's part.
+    Blind,
+    /// The fleet is taken to be too busy.
+    Pressed,
+    /// No backend may be sent to.
+    NoBackend,
+    /// It was sent on, or waited to be, and none of its attempts can be followed by another.
+    GivenUp,
+    /// It names a class or a plan that there is not.
+    Unknown,
+}
+
+impl RefusalReason {
+    /// All of them, in the order of their discriminants.
+    pub const ALL: [Self; 6] =
+        [Self::OverQuota, Self::Blind, Self::Pressed, Self::NoBackend, Self::GivenUp, Self::Unknown];
+
+    /// Its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::OverQuota => "over_quota",
+            Self::Blind => "blind",
+            Self::Pressed => "pressed",
+            Self::NoBackend => "no_backend",
+            Self::GivenUp => "given_up",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// What to do.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
@@ -665,6 +711,10 @@
         backend: BackendId,
         /// Time-out; `None`: until the client quits.
         timeout: Option<Micros>,
+        /// It may not begin from then on; `None`: it may for as long as its client waits.
+        begin_by: Option<Micros>,
+        /// Why it is sent.
+        why: SendReason,
     },
     /// Final answer: refused; trying again is harmless.
     Refuse {
@@ -672,6 +722,8 @@
         id: RequestId,
         /// Advised wait; 0: none.
         wait: Micros,
+        /// Why.
+        why: RefusalReason,
     },
     /// Final answer: failed; no promise.
     Fail {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 mod api;
 mod logic;
 mod random;
+mod repeats;
 mod state;
 mod succession;
 mod vitals;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -226,7 +226,7 @@
         // Two processes of this gateway go by the same total: each spends half of the part.
         let share = c.part() * if self.paired { 0.5 } else { 1.0 };
         if p.at_once > 0 && c.out as f64 >= (p.at_once as f64 * share).max(1.0).floor() {
-            return Verdict::Over(Reason::Over, 0);
+            return Verdict::Over(RefusalReason::OverQuota, 0);
         }
         if p.rate <= 0.0 {
             return Verdict::Pass(true, 0.0);
@@ -244,7 +244,7 @@
             // Where the store or the estimate has room and only the part is spent, a fresh total settles it.
             let excess = c.all(x) + units - limit;
             if excess > 0.0 && c.store < units {
-                return over(Reason::Over, excess.max(units * even));
+                return over(RefusalReason::OverQuota, excess.max(units * even));
             }
             let chance = self.call_chance(id, units);
             if self.counter_well() && self.may_call() && self.rng.next() < chance {
@@ -256,7 +256,7 @@
         if self.blind(id, units) {
             Verdict::Pass(!self.counter_well() || batches, self.odds(&self.customers[&id]))
         } else {
-            over(Reason::Blind, units)
+            over(RefusalReason::Blind, units)
         }
     }
 
@@ -587,8 +587,8 @@
                 est += h.counted + h.later;
             } else {
                 c.cur.unsent -= h.counted;
-                let seen = if told { Reason::Over } else { Reason::Blind };
-                let why = if room { Reason::Nowhere } else { seen };
+                let seen = if told { RefusalReason::OverQuota } else { RefusalReason::Blind };
+                let why = if room { RefusalReason::NoBackend } else { seen };
                 let wait = (est + h.units - limit).max(h.units) / limit * window;
                 self.turn_away(h.id, why, wait as Micros);
             }
@@ -598,7 +598,7 @@
     fn on_request(&mut self, a: Arrival) {
         let (id, class, plan, now) = (a.id, a.class.0 as usize, a.plan.0 as usize, self.now);
         if class >= self.cfg.classes.len() || plan >= self.cfg.plans.len() {
-            self.acts.push(Action::Refuse { id, wait: 0 });
+            self.acts.push(Action::Refuse { id, wait: 0, why: RefusalReason::Unknown });
             return;
         }
         // Units that are no number must not be granted without bound.
@@ -629,11 +629,11 @@
         };
         if !matches!(verdict, Verdict::Over(..)) && !self.can_serve(id, odds) {
             // Clients told nothing come back at once: they are told what the queue takes.
-            return self.turn_away(id, Reason::Pressed, self.expected() as Micros);
+            return self.turn_away(id, RefusalReason::Pressed, self.expected() as Micros);
         }
         match verdict {
             Verdict::Pass(counts, _) if self.launch(id) => self.charge(cid, units, counts),
-            Verdict::Pass(..) => self.turn_away(id, Reason::Nowhere, self.expected() as Micros),
+            Verdict::Pass(..) => self.turn_away(id, RefusalReason::NoBackend, self.expected() as Micros),
             Verdict::Hold(counted) => {
                 // Danger: units counted for requests then refused shut others out: many are counted after.
                 let Some(c) = self.customers.get_mut(&cid) else { return };
@@ -934,9 +934,10 @@
         }
         self.out += 1;
         self.sent_count += 1.0;
+        let (begin_by, why) = (self.repeat_window_end(id), self.send_reason(id));
         let Some(r) = self.requests.get_mut(&id) else { return false };
         r.attempts.push(Attempt { backend, sent: now, outcome: None, lost: coming });
-        self.acts.push(Action::Send { id, backend, timeout: None });
+        self.acts.push(Action::Send { id, backend, timeout: None, begin_by, why });
         if first {
             self.retry_tokens = (self.retry_tokens + RETRY_PART).min(1.0 / RETRY_PART);
             if self.cfg.second_copies {
@@ -1081,20 +1082,20 @@
     fn give_up(&mut self, id: RequestId) {
         if self.may_refuse(id) {
             // Clients told nothing come back at once, into what turned this one away.
-            return self.refuse(id, self.expected() as Micros);
+            return self.refuse(id, RefusalReason::GivenUp, self.expected() as Micros);
         }
         self.answer(id, Action::Fail { id });
     }
 
     /// Refuses one that has not been sent anywhere.
-    fn turn_away(&mut self, id: RequestId, why: Reason, wait: Micros) {
+    fn turn_away(&mut self, id: RequestId, why: RefusalReason, wait: Micros) {
         self.refusals.count(why);
-        self.refuse(id, wait);
+        self.refuse(id, why, wait);
     }
 
-    fn refuse(&mut self, id: RequestId, wait: Micros) {
+    fn refuse(&mut self, id: RequestId, why: RefusalReason, wait: Micros) {
         let wait = if self.cfg.retry_advice { wait.min(self.cfg.max_advice) } else { 0 };
-        self.answer(id, Action::Refuse { id, wait });
+        self.answer(id, Action::Refuse { id, wait, why });
     }
 
     fn answer(&mut self, id: RequestId, action: Action) {
@@ -1169,44 +1170,6 @@
 
     // ---------------------------------------------------------------- rule guards
 
-    fn possibly_ran(a: &Attempt) -> bool {
-        !matches!(a.outcome, Some(Outcome::Full | Outcome::ConnectFailed | Outcome::Moot))
-    }
-
-    /// Rules 2 and 3: whether an attempt of this request may go to this backend now.
-    fn may_send(&self, id: RequestId, b: &Backend) -> bool {
-        let r = &self.requests[&id];
-        let most = self.cfg.max_attempts as usize;
-        let spent = r.spent || r.attempts.len() >= most || self.now >= r.deadline;
-        let out = r.attempts.iter().any(|a| a.outcome.is_none());
-        if r.over || r.streaming || spent || (out && !self.cfg.second_copies) {
-            return false;
-        }
-        let Some(ran) = r.attempts.iter().find(|a| Self::possibly_ran(a)) else { return true };
-        match self.cfg.classes[r.class].effect {
-            Effect::Pure => true,
-            Effect::Unsafe => false,
-            Effect::Keyed { group, window } => {
-                let there = self.backends.get(&ran.backend).map(|x| x.row);
-                let same = match group {
-                    KeyGroup::All => true,
-                    KeyGroup::Zone => there.is_some_and(|t| t.zone == b.row.zone),
-                    KeyGroup::Cell => there.is_some_and(|t| t.cell == b.row.cell),
-                };
-                same && self.since(ran.sent) + 2.0 * (self.cfg.tick as f64) < window as f64
-            }
-        }
-    }
-
-    /// Rule 2: whether a refusal would be true.
-    fn may_refuse(&self, id: RequestId) -> bool {
-        let r = &self.requests[&id];
-        match self.cfg.classes[r.class].effect {
-            Effect::Pure | Effect::Keyed { group: KeyGroup::All, .. } => true,
-            _ => !r.attempts.iter().any(Self::possibly_ran),
-        }
-    }
-
     /// Rule 4: this gateway's share of the fall budget of a cold backend bounds its sends.
     /// Full capacity is not told; what each warm backend serves from here is at most that.
     fn slow_start_allows(&self, b: &Backend, usable: f64) -> bool {
--- a/src/state.rs
+++ b/src/state.rs
@@ -243,16 +243,7 @@
     /// Held for a fresh total, with what is counted for it.
     Hold(f64),
     /// Refused for this reason, with how long to stay away.
-    Over(Reason, Micros),
-}
-
-/// Why a request is refused unsent.
-#[derive(Clone, Copy)]
-pub(crate) enum Reason {
-    Over,
-    Blind,
-    Pressed,
-    Nowhere,
+    Over(RefusalReason, Micros),
 }
 
 /// A part of what came of late, in counts that fade.
--- a/src/vitals.rs
+++ b/src/vitals.rs
@@ -1,6 +1,7 @@
 //! What the decisions go by, for the log and the operators.
 
-use crate::state::{Gateway, Health, Reason};
+use crate::api::RefusalReason;
+use crate::state::{Gateway, Health};
 
 /// Refusals by their reason, since the start.
 #[derive(Default, Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,12 +52,13 @@
 }
 
 impl Refusals {
-    pub(crate) fn count(&mut self, why: Reason) {
+    pub(crate) fn count(&mut self, why: RefusalReason) {
         *match why {
-            Reason::Over => &mut self.over,
-            Reason::Blind => &mut self.blind,
-            Reason::Pressed => &mut self.pressed,
-            Reason::Nowhere => &mut self.nowhere,
+            RefusalReason::OverQuota => &mut self.over,
+            RefusalReason::Blind => &mut self.blind,
+            RefusalReason::Pressed => &mut self.pressed,
+            RefusalReason::NoBackend => &mut self.nowhere,
+            RefusalReason::GivenUp | RefusalReason::Unknown => return,
         } += 1;
     }
 }
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -46,7 +46,7 @@
     let (name, _) = held(&mut rig);
     let acts = tell(&mut rig, name, 12.0);
     assert!(sent(&acts).is_empty());
-    let waits = |a: &Action| matches!(a, Action::Refuse { id: RequestId(5), wait } if *wait > 0);
+    let waits = |a: &Action| matches!(a, Action::Refuse { id: RequestId(5), wait, .. } if *wait > 0);
     assert!(acts.iter().any(waits));
     let next = rig.ask(6, 5);
     assert_eq!(answers(&next), vec![(6, true)], "over the estimate: refused at once");
