Guard sending, repeating, closing and starting; tell and count why each step is taken

Guards: node/src/guard.rs looks at the facts once more right before an attempt is begun or written, a client's connection is cut, the process calls itself ready or ends. A step that breaks a rule is refused, counted (guard_violations in /metrics) and logged. Nothing waits any more between the last look at client, list and window and the write of an attempt.

Reasons: node/src/reasons.rs.

--- a/node/src/backend/attempt.rs
+++ b/node/src/backend/attempt.rs
@@ -7,6 +7,7 @@
 use crate::body::gather::{gather, Gathered};
 use crate::body::upload::UploadSource;
 use crate::body::{MAX_BODY_BYTES, MAX_BUFFERED_BYTES};
+use crate::guard::SendFacts;
 use crate::link::{head_length, Broken};
 use bytes::Bytes;
 use caperwind::{BackendId, LoadReport, Outcome};
@@ -136,22 +137,44 @@
             let mut connection = match reused.take() {
                 Some((connection, _)) => connection,
                 None => match self.open_by(id, limits.begin_by).await {
-                    Ok(_) if message.client.peer_closed() => return Err(ClientClosed),
                     Ok(connection) => connection,
                     Err(outcome) => return Ok(outcome.into()),
                 },
             };
+            match connection.link.ready().await {
+                Ok(()) => {}
+                // It had died unseen: the attempt is yet to begin.
+                Err(_) if idle.is_some() => continue,
+                Err(_) => return Ok(Outcome::ConnectFailed.into()),
+            }
+            // From here on nothing waits until the attempt is on its way.
+            let client_closed = message.client.peer_closed();
+            if client_closed {
+                return Err(ClientClosed);
+            }
             // Danger: the window of a repeat may have ended while the connection came up.
             if limits.too_late() {
                 return Ok(Outcome::Moot.into());
             }
             // Danger: the backend may have begun to drain, or be elsewhere, since the connection was begun.
-            match self.era(id) {
+            let era = self.era(id);
+            match era {
                 None => return Ok(Outcome::Full.into()),
                 Some(era) if era != connection.era => continue,
                 Some(_) => {}
             }
-            let request = message.request(deadline.get().saturating_duration_since(Instant::now()));
+            let left = deadline.get().saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Ok(Outcome::Moot.into());
+            }
+            let told = message.time_to_tell(left);
+            let backend_in_service = era == Some(connection.era);
+            let facts = SendFacts { client_closed, backend_in_service, left, told };
+            if let Err(violation) = facts.check() {
+                self.guard.refused(violation, &format!("{} {}", message.method, message.target));
+                return Ok(Outcome::Moot.into());
+            }
+            let request = message.request(told);
             let (head, before) = (head_length(&request), connection.link.written());
             let length = || message.body.framed().map(|body| head + body);
             match (&message.body, length()) {
--- a/node/src/backend/message.rs
+++ b/node/src/backend/message.rs
@@ -78,8 +78,13 @@
         matches!(&self.body, Payload::Coming(source) if source.begun())
     }
 
-    /// The request for an attempt that has so much time left.
-    pub(super) fn request(&self, left: Duration) -> Request<RequestBody> {
+    /// The time that a backend is told of what is left. That of a body that is still coming does not run yet.
+    pub(super) fn time_to_tell(&self, left: Duration) -> Duration {
+        left.min(self.client_wait)
+    }
+
+    /// The request for an attempt that is told to have so much time.
+    pub(super) fn request(&self, told: Duration) -> Request<RequestBody> {
         let (body, length) = match &self.body {
             Payload::Whole { body, .. } => (Either::Left(Full::new(body.clone())), Some(body.len() as u64)),
             Payload::Coming(source) => (Either::Right(Upload::new(source.clone())), source.length),
@@ -89,10 +94,8 @@
         *request.uri_mut() = self.target.clone();
         let headers = request.headers_mut();
         headers.clone_from(&self.headers);
-        // The time of a body that is still coming does not run yet.
-        let left = left.min(self.client_wait);
-        let left_ms = left.as_micros().div_ceil(1000) as u64;
-        headers.insert("x-time-left-ms", left_ms.into());
+        let told_ms = told.as_micros().div_ceil(1000) as u64;
+        headers.insert("x-time-left-ms", told_ms.into());
         match length {
             Some(length) if self.method == Method::POST => {
                 drop(headers.insert(CONTENT_LENGTH, length.into()))
--- a/node/src/backend/pool.rs
+++ b/node/src/backend/pool.rs
@@ -2,6 +2,7 @@
 
 use crate::body::budget::Budget;
 use crate::config::Setup;
+use crate::guard::Guard;
 use crate::link::{Link, SETTLE};
 use caperwind::{BackendId, LoadField, Outcome};
 use std::cell::{Cell, RefCell};
@@ -67,6 +68,8 @@
     barred: RefCell<HashSet<BackendId>>,
     /// Attempts written whole.
     pub attempts_written: Rc<Cell<u64>>,
+    /// Looks at each attempt before it is written.
+    pub guard: Rc<Guard>,
 }
 
 impl Pool {
@@ -85,6 +88,7 @@
             bodies: Budget::new(setup.body_bytes),
             barred: RefCell::default(),
             attempts_written: Rc::default(),
+            guard: Rc::default(),
         })
     }
 
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -13,9 +13,11 @@
 use crate::counter::{Counter, Results};
 use crate::discovery::Subscriber;
 use crate::endpoints::{Endpoint, List};
+use crate::guard::{EarlierAttempt, Guard};
+use crate::reasons::{Reasons, Refused};
 use backend_list::{BackendList, Listed};
 use caperwind::{
-    Action, Arrival, BackendId, BackendRow, BackendState, Config, CountName, Event, Gateway, Legacy,
+    Action, Arrival, BackendId, BackendRow, BackendState, Config, CountName, Effect, Event, Gateway, Legacy,
     ListKind, Micros, Reckoned, RefusalReason, RequestId, Spent,
 };
 use hyper::{Response, StatusCode};
@@ -68,6 +70,10 @@
     /// When its last byte had come; 0: it is still coming.
     whole: Micros,
     attempts: u8,
+    /// What may be done with requests of its class.
+    effect: Effect,
+    /// All attempts so far, by their numbers.
+    history: Vec<EarlierAttempt>,
     /// The attempts that are out: where the settings allow second copies, there may be two.
     out: Vec<Out>,
 }
@@ -92,6 +98,7 @@
     clock: Clock,
     pool: Rc<Pool>,
     counter: Rc<Counter>,
+    reasons: Rc<Reasons>,
     wake: Notify,
     ready: Cell<bool>,
     /// Discovery itself has told a list.
@@ -124,7 +131,13 @@
 }
 
 impl Shared {
-    pub fn new(module: Config, seed: u64, pool: Rc<Pool>, counter: Rc<Counter>) -> Result<Self, String> {
+    pub fn new(
+        module: Config,
+        seed: u64,
+        pool: Rc<Pool>,
+        counter: Rc<Counter>,
+        reasons: Rc<Reasons>,
+    ) -> Result<Self, String> {
         let clock = Clock::start();
         let gateway = Gateway::new(module.clone(), seed).map_err(|e| e.to_string())?;
         let core = Core {
@@ -145,6 +158,7 @@
             clock,
             pool,
             counter,
+            reasons,
             wake: Notify::new(),
             ready: Cell::new(false),
             told: Notify::new(),
@@ -156,6 +170,11 @@
         &self.0.module
     }
 
+    /// Counts the steps that were refused.
+    pub fn guard(&self) -> &Rc<Guard> {
+        &self.0.pool.guard
+    }
+
     /// Whether a list of backends is in hand.
     pub fn ready(&self) -> bool {
         self.0.ready.get()
@@ -192,6 +211,7 @@
     pub fn request(&self, message: Message, terms: Terms) -> Result<Ticket, Fault> {
         let mut core = self.0.core.borrow_mut();
         if core.requests.len() >= MOST_OPEN {
+            self.0.reasons.refused(&terms.id, Refused::TooManyOpen);
             return Err((StatusCode::SERVICE_UNAVAILABLE, "too many requests open\n"));
         }
         // Danger: backends know a request by this name: a second one would be taken for a copy of the first.
@@ -215,7 +235,9 @@
         let (name, message) = (terms.id, Rc::new(message));
         let (reply, last) = (Some(reply), Deadline::new(self.0.clock.instant(deadline)));
         let ends = last.clone();
-        let open = Open { name, message, reply, deadline, last, whole, attempts: 0, out: Vec::new() };
+        let effect = self.0.module.classes[usize::from(terms.class.0)].effect;
+        let (history, out) = (Vec::new(), Vec::new());
+        let open = Open { name, message, reply, deadline, last, whole, attempts: 0, effect, history, out };
         core.requests.insert(id, open);
         core.timers.insert((deadline, Due::Deadline(id)));
         core.events.push_back(Event::Request(Arrival {
--- a/node/src/driver/actions.rs
+++ b/node/src/driver/actions.rs
@@ -3,6 +3,8 @@
 use super::timers::Due;
 use super::{Core, Out, Reply, Shared};
 use crate::backend::{AttemptLimits, ClientClosed, Finish};
+use crate::guard::{EarlierAttempt, RepeatFacts};
+use crate::reasons::outcome_name;
 use caperwind::{Action, AttemptIx, BackendId, Ended, Event, Micros, Outcome, RequestId, SendReason};
 
 /// An attempt that the module wants.
@@ -81,14 +83,27 @@
         let Some(open) = core.requests.get_mut(&id) else { return };
         let attempt = open.attempts;
         open.attempts = attempt.saturating_add(1);
-        let alone = open.out.is_empty() || self.0.module.second_copies;
         let spent = open.message.spent();
-        if open.reply.is_none() || !alone || spent || now >= open.deadline {
+        let facts = RepeatFacts {
+            effect: open.effect,
+            earlier: &open.history,
+            now,
+            max_attempts: self.0.module.max_attempts,
+            second_copies: self.0.module.second_copies,
+        };
+        let allowed = facts.check();
+        if let Err(violation) = allowed {
+            self.guard().refused(violation, &format!("request {:?}, attempt {attempt}", open.name));
+        }
+        let may_begin = allowed.is_ok() && open.reply.is_some() && !spent && now < open.deadline;
+        let outcome = if may_begin { None } else { Some(Outcome::Moot) };
+        open.history.push(EarlierAttempt { sent: now, outcome });
+        if !may_begin {
             let moot = Outcome::Moot.into();
             core.events.push_back(ended(id, attempt, backend, 0, open.reply.is_none(), spent, moot));
             return;
         }
-        log::debug!("request {:?}: attempt {attempt} at {backend:?}, {why:?}", open.name);
+        self.0.reasons.sent(&open.name, attempt, &backend, why);
         if let Some(limit) = timeout {
             core.timers.insert((now + limit, Due::Attempt(id, attempt)));
         }
@@ -114,6 +129,15 @@
         let Some(at) = open.out.iter().position(|o| o.attempt == attempt) else { return };
         let out = open.out.swap_remove(at);
         out.task.abort();
+        if let Some(earlier) = open.history.get_mut(usize::from(attempt)) {
+            earlier.outcome = Some(finish.outcome);
+        }
+        log::debug!(
+            "request {:?} attempt {attempt} ended: {} after {} us",
+            open.name,
+            outcome_name(finish.outcome),
+            now.saturating_sub(out.sent)
+        );
         let Finish { outcome, load, billed, answer } = finish;
         if let (Some(answer), Some(reply)) = (answer, open.reply.take_if(|_| outcome == Outcome::Ok)) {
             drop(reply.send(Reply::Served(Box::new(answer))));
--- a/node/src/figures.rs
+++ b/node/src/figures.rs
@@ -2,6 +2,7 @@
 
 use crate::body::interruption::{AnswerInterruption, UploadInterruption};
 use crate::logging::LimitedLog;
+use crate::reasons::Reasons;
 use caperwind::{ClassIx, Config};
 use hyper::StatusCode;
 use serde_json::{json, Map, Value};
@@ -35,6 +36,8 @@
     answers_interrupted: [Cell<u64>; AnswerInterruption::ALL.len()],
     uploads_interrupted: [Cell<u64>; UploadInterruption::ALL.len()],
     interruptions: LimitedLog,
+    /// Why requests were refused and repeated, and connections closed.
+    pub reasons: Rc<Reasons>,
 }
 
 /// A request in work, for as long as this lives.
@@ -57,6 +60,7 @@
             answers_interrupted: Default::default(),
             uploads_interrupted: Default::default(),
             interruptions: LimitedLog::default(),
+            reasons: Rc::default(),
         })
     }
 
@@ -109,6 +113,9 @@
             "skipped_backends": skipped,
             "answers_interrupted": by_name(&answers, &self.answers_interrupted),
             "uploads_interrupted": by_name(&uploads, &self.uploads_interrupted),
+            "refused_by_reason": self.reasons.refused_report(),
+            "repeated_by_reason": self.reasons.repeated_report(),
+            "closed_by_reason": self.reasons.closed_report(),
             "log_lines_lost": crate::logging::lines_lost(),
         })
     }
--- a/node/src/link.rs
+++ b/node/src/link.rs
@@ -69,6 +69,11 @@
         self.meter.clone()
     }
 
+    /// Waits until a request can be sent; an error where the connection has ended.
+    pub async fn ready(&mut self) -> Result<(), Broken> {
+        self.sender.ready().await.map_err(|_| Broken { written: false })
+    }
+
     /// Sends a request and waits for the head of its answer. `length` is what it takes on the wire, `None` as
     /// long as that is not known.
     pub async fn send(
@@ -76,7 +81,7 @@
         request: Request<RequestBody>,
         length: impl Fn() -> Option<u64>,
     ) -> Result<Response<Incoming>, Broken> {
-        self.sender.ready().await.map_err(|_| Broken { written: false })?;
+        self.ready().await?;
         let before = self.meter.written();
         self.sender.try_send_request(request).await.map_err(|e| {
             // A message that comes back was never begun.
--- a/node/src/ops.rs
+++ b/node/src/ops.rs
@@ -17,6 +17,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Handle;
 use tokio::task::{yield_now, JoinHandle};
 use tokio::time::{sleep, timeout};
 
@@ -113,8 +114,10 @@
             "/ready" if self.server.ready() => say(StatusCode::OK, "ready\n"),
             "/ready" => say(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
             "/metrics" => {
-                let report = self.figures.report(self.driver.backends()).to_string();
-                let mut answer = Response::new(Full::new(report.into()));
+                let mut report = self.figures.report(self.driver.backends());
+                report["guard_violations"] = self.driver.guard().report().into();
+                report["tasks"] = Handle::current().metrics().num_alive_tasks().into();
+                let mut answer = Response::new(Full::new(report.to_string().into()));
                 answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
                 answer
             }
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -5,6 +5,7 @@
 use crate::config::{Bounds, Held, Reload, Setup};
 use crate::counter::Counter;
 use crate::handover::{Handover, Message};
+use crate::reasons::CloseReason;
 use crate::server::Server;
 use crate::supervisor::Supervisor;
 use crate::{discovery, driver, endpoints, figures, handover, ops, supervisor};
@@ -59,12 +60,18 @@
     let counter = Counter::new(setup.counter, setup.module.counter, alone.counter);
     let figures = figures::Figures::new(&setup.module);
     let last_answer = last_answer(&setup.module);
-    let driver = driver::Shared::new(setup.module, setup.seed, pool.clone(), counter.clone())?;
+    let driver = driver::Shared::new(
+        setup.module,
+        setup.seed,
+        pool.clone(),
+        counter.clone(),
+        figures.reasons.clone(),
+    )?;
     // The module begins with the list it last had, an empty one if none.
     let none = endpoints::List { index: 0, snapshot: true, endpoints: Vec::new() };
     let known = setup.known.as_ref().filter(|list| !list.endpoints.is_empty()).map(|list| list.index);
     driver.backends_known(setup.known.unwrap_or(none));
-    let supervisor = Rc::new(Supervisor::default());
+    let supervisor = Supervisor::new(pool.guard.clone());
     let timers = driver.clone();
     supervisor.run("timers", move || {
         let timers = timers.clone();
@@ -142,7 +149,7 @@
         // Danger: a request may be on its way on any connection that is open. Those in use are closed by an
         // answer; the longer one has been idle, the less likely it is that one crosses its end.
         let idle = if began.elapsed() < BY_ANSWER { LONG_IDLE } else { Duration::ZERO };
-        server.close_idle(idle);
+        server.close_idle(idle, CloseReason::Ending);
         // Danger: an answer that never ends would hold this process until SIGKILL, and its client for longer.
         if began.elapsed() >= last_answer {
             server.cut_unproven(LAST_BYTES);
@@ -165,6 +172,7 @@
     others.hand_over();
     finish_answers(&server).await;
     others.end().await;
+    server.check_end();
     // Tasks that are left hold nothing that is owed; they end with the process.
     std::process::exit(0);
 }
@@ -205,7 +213,7 @@
     while !server.empty() && last_answered.elapsed() < LAST_BYTES {
         server.cut_unproven(LAST_BYTES);
         server.close_behind_answers();
-        server.close_idle(Duration::ZERO);
+        server.close_idle(Duration::ZERO, CloseReason::Ending);
         if server.answering() {
             last_answered = Instant::now();
         }
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -7,8 +7,10 @@
 use crate::body::budget::Budget;
 use crate::driver::Shared;
 use crate::figures::Figures;
+use crate::guard::Violation;
 use crate::logging::LimitedLog;
 use crate::meter::{Metered, HEAD_BYTES};
+use crate::reasons::CloseReason;
 use connection::{ClientConnection, CutReason, EvictionRank, Phase, ABOUT_TO_ASK};
 use http_body_util::Either;
 use hyper::header::{HeaderValue, CONNECTION};
@@ -66,7 +68,11 @@
 
 impl Drop for Registration {
     fn drop(&mut self) {
-        self.0.connections.borrow_mut().remove(&self.1);
+        let client = self.0.connections.borrow_mut().remove(&self.1);
+        if let Some(client) = client {
+            let (requests, last) = client.requests();
+            self.0.figures.reasons.closed(self.1, requests, last.as_deref(), client.close_reason());
+        }
         self.0.left.notify_one();
     }
 }
@@ -118,18 +124,21 @@
     }
 
     /// Closes what has been between requests for so long; what has begun gets its answer, and goes then.
-    pub fn close_idle(&self, for_long: Duration) {
+    pub fn close_idle(&self, for_long: Duration, why: CloseReason) {
         let connections = self.connections.borrow();
         let idle = connections.values().filter(|c| matches!(c.phase(), Phase::New | Phase::Idle));
         let idle = idle.filter(|c| c.age() >= for_long.max(ABOUT_TO_ASK));
         let idle = idle.filter(|c| !c.answering() && c.nothing_begun());
-        idle.for_each(|c| c.dismiss());
+        idle.for_each(|c| c.dismiss(why));
     }
 
     /// Closes each connection that an answer is on its way on, once that is written.
     pub fn close_behind_answers(&self) {
         let connections = self.connections.borrow();
-        connections.values().filter(|c| c.phase() == Phase::Reply).for_each(|c| c.dismiss());
+        connections
+            .values()
+            .filter(|c| c.phase() == Phase::Reply)
+            .for_each(|c| c.dismiss(CloseReason::Ending));
     }
 
     /// Accepts until it is told that it was the last. Danger: a connection that has come is owed an answer, also
@@ -202,7 +211,7 @@
         };
         client.leaving.set(true);
         match rank {
-            EvictionRank::Idle => client.dismiss(),
+            EvictionRank::Idle => client.dismiss(CloseReason::MadeWay),
             _ => client.cut(CutReason::MadeWay),
         }
     }
@@ -217,7 +226,7 @@
             }
             drained = self.driver.draining().then(|| drained.unwrap_or_else(Instant::now));
             if drained.is_some_and(|at| at.elapsed() >= DRAIN_BY_ANSWER) {
-                self.close_idle(ABOUT_TO_ASK);
+                self.close_idle(ABOUT_TO_ASK, CloseReason::Draining);
             }
             for _ in self.most.get()..self.connections.borrow().len() {
                 self.make_way();
@@ -239,7 +248,9 @@
                     // The end of an answer that its client takes slowly is still on its way.
                     Phase::Idle if client.answering() => {}
                     Phase::Idle if age >= 2 * IDLE_TIMEOUT => client.cut(CutReason::ClientStopped),
-                    Phase::Idle if age >= IDLE_TIMEOUT && client.meter.quiet() => client.dismiss(),
+                    Phase::Idle if age >= IDLE_TIMEOUT && client.meter.quiet() => {
+                        client.dismiss(CloseReason::Idle)
+                    }
                     _ => {}
                 }
             }
@@ -251,7 +262,7 @@
             return;
         }
         let id = self.next.replace(self.next.get() + 1);
-        let client = ClientConnection::new(stream);
+        let client = ClientConnection::new(stream, self.driver.guard().clone());
         self.connections.borrow_mut().insert(id, client.clone());
         let (server, here, registration) = (self.clone(), client.clone(), Registration(self.clone(), id));
         let task = tokio::task::spawn_local(async move {
@@ -272,6 +283,7 @@
                 if server.driver.closing() || server.driver.draining() || client.meter.skipped() {
                     answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
+                client.last_answer.set(answer.headers().contains_key(CONNECTION));
                 Ok::<_, Infallible>(answer)
             }
         });
@@ -310,7 +322,23 @@
 
     /// Whether this process serves and goes on to.
     pub fn ready(&self) -> bool {
-        self.open.get() && self.driver.ready() && !self.driver.closing() && !self.driver.draining()
+        let ready =
+            self.open.get() && self.driver.ready() && !self.driver.closing() && !self.driver.draining();
+        let too_soon = ready && (!self.open.get() || self.driver.closing());
+        if too_soon {
+            self.driver.guard().refused(Violation::ReadyTooSoon, "asked by an operator");
+        }
+        ready && !too_soon
+    }
+
+    /// Looks for requests that the end of the process leaves without an answer.
+    pub fn check_end(&self) {
+        for client in self.connections.borrow().values().filter(|c| c.phase() == Phase::Work) {
+            let (_, last) = client.requests();
+            self.driver
+                .guard()
+                .refused(Violation::CloseOverRequest, &format!("request {last:?}, at the end"));
+        }
     }
 
     /// Whether clients are wanted at this address: another process may serve there when this one ends.
--- a/node/src/server/connection.rs
+++ b/node/src/server/connection.rs
@@ -4,8 +4,10 @@
 use crate::body::download::Progress;
 use crate::body::interruption::{AnswerInterruption, UploadInterruption};
 use crate::body::upload::Backpressure;
+use crate::guard::{Guard, Violation};
 use crate::meter::Meter;
-use std::cell::{Cell, OnceCell};
+use crate::reasons::CloseReason;
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -115,12 +117,19 @@
     /// It has been told to make way.
     pub leaving: Cell<bool>,
     cut_reason: Cell<Option<CutReason>>,
+    dismissed: Cell<Option<CloseReason>>,
+    /// The connection ends with the answer that is on its way.
+    pub last_answer: Cell<bool>,
+    /// Requests that have come, and the client's name for the last of them.
+    requests: Cell<u64>,
+    last_request: RefCell<Option<Rc<str>>>,
+    guard: Rc<Guard>,
     task: OnceCell<AbortHandle>,
 }
 
 impl ClientConnection {
     /// A connection on which nothing has come yet.
-    pub fn new(stream: TcpStream) -> Rc<Self> {
+    pub fn new(stream: TcpStream, guard: Rc<Guard>) -> Rc<Self> {
         let connection = ClientConnection {
             meter: Meter::new(stream),
             phase: Cell::new(Phase::New),
@@ -133,6 +142,11 @@
             close: Notify::new(),
             leaving: Cell::new(false),
             cut_reason: Cell::new(None),
+            dismissed: Cell::new(None),
+            last_answer: Cell::new(false),
+            requests: Cell::new(0),
+            last_request: RefCell::new(None),
+            guard,
             task: OnceCell::new(),
         };
         connection.meter.listen();
@@ -262,12 +276,43 @@
     }
 
     /// Ends what is between requests, once its last answer is written.
-    pub fn dismiss(&self) {
+    pub fn dismiss(&self, why: CloseReason) {
+        self.dismissed.set(Some(why));
         self.close.notify_one();
     }
 
+    /// Takes in that a request has come.
+    pub fn take_request(&self, name: &Rc<str>) {
+        self.requests.set(self.requests.get() + 1);
+        *self.last_request.borrow_mut() = Some(name.clone());
+    }
+
+    /// Requests that have come, and the client's name for the last of them.
+    pub fn requests(&self) -> (u64, Option<Rc<str>>) {
+        (self.requests.get(), self.last_request.borrow().clone())
+    }
+
+    /// Why it ended.
+    pub fn close_reason(&self) -> CloseReason {
+        match self.cut_reason.get() {
+            Some(CutReason::RequestTooSlow) => CloseReason::RequestTooSlow,
+            Some(CutReason::ClientClosed) => CloseReason::ClientLeft,
+            Some(CutReason::ClientStopped) => CloseReason::ClientStopped,
+            Some(CutReason::MadeWay) => CloseReason::MadeWay,
+            Some(CutReason::ProcessEnded) => CloseReason::Ending,
+            None if self.waiting() => CloseReason::ClientLeft,
+            None if self.last_answer.get() => CloseReason::LastAnswer,
+            None => self.dismissed.get().unwrap_or(CloseReason::Client),
+        }
+    }
+
     /// Ends it at once.
     pub fn cut(&self, why: CutReason) {
+        let client_gone = matches!(why, CutReason::ClientClosed | CutReason::ClientStopped);
+        if self.phase() == Phase::Work && !client_gone {
+            let what = format!("request {:?}, {why:?}", self.last_request.borrow());
+            return self.guard.refused(Violation::CloseOverRequest, &what);
+        }
         self.cut_reason.set(Some(why));
         if let Some(task) = self.task.get() {
             task.abort();
--- a/node/src/server/handler.rs
+++ b/node/src/server/handler.rs
@@ -12,6 +12,7 @@
 use crate::body::MAX_BUFFERED_BYTES;
 use crate::driver::{Reply, Ticket};
 use crate::figures::{Ending, Taken};
+use crate::reasons::Refused;
 use bytes::Bytes;
 use caperwind::{ClassIx, Micros};
 use http_body_util::{Either, Full};
@@ -80,6 +81,7 @@
         if chunked && client.meter.names("content-length") != Some(false) {
             return last(StatusCode::BAD_REQUEST, "two lengths\n");
         }
+        client.take_request(&terms.id);
         client.enter_body();
         self.waits.notify_one();
         let label = RequestLabel { class: terms.class, id: terms.id.clone() };
@@ -123,6 +125,8 @@
         let reservation = self.bodies.reserve(small.unwrap_or(MAX_BUFFERED_BYTES));
         if reservation.is_none() && small.is_some() {
             self.figures.settle(class, Ending::Dropped);
+            let name = client.requests().1;
+            self.figures.reasons.refused(name.as_deref().unwrap_or_default(), Refused::BodiesFull);
             match body.is_end_stream() {
                 true => upload.complete(),
                 false => upload.interrupt(UploadInterruption::AnsweredEarly),
@@ -243,7 +247,8 @@
                 };
                 Response::from_parts(head, body)
             }
-            Reply::Refused { wait, tried, why: _ } => {
+            Reply::Refused { wait, tried, why } => {
+                self.figures.reasons.refused(&request.id, Refused::Decided(why));
                 self.figures.settle(request.class, Ending::Dropped);
                 refused(wait, tried)
             }
--- a/node/src/supervisor.rs
+++ b/node/src/supervisor.rs
@@ -1,6 +1,6 @@
 //! Tasks that last as long as the process, and what a process needs at its start.
 
-use std::cell::Cell;
+use crate::guard::{Guard, Violation};
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -18,16 +18,15 @@
 /// A task that has panicked begins anew after this.
 const RESTART_PAUSE: Duration = Duration::from_millis(20);
 
-/// Counts panics of the tasks that it runs.
-#[derive(Default)]
+/// Runs the tasks that have to last.
 pub struct Supervisor {
-    panics: Cell<u64>,
+    guard: Rc<Guard>,
 }
 
 impl Supervisor {
-    /// Panics since the start.
-    pub fn panics(&self) -> u64 {
-        self.panics.get()
+    /// A supervisor that counts panics there.
+    pub fn new(guard: Rc<Guard>) -> Rc<Self> {
+        Rc::new(Supervisor { guard })
     }
 
     /// Runs a task that must not end by a panic: it begins anew then. Without it, a process would go on that keeps no
@@ -46,8 +45,7 @@
                 if !e.is_panic() {
                     return;
                 }
-                this.panics.set(this.panics.get() + 1);
-                log::error!("task {name} panicked and begins anew");
+                this.guard.refused(Violation::TaskPanicked, &format!("{name} begins anew"));
                 sleep(RESTART_PAUSE).await;
             }
         })
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -424,6 +424,8 @@
     pub platform: Option<Platform>,
     /// Where its log goes, if not into a file of the test's.
     pub log: Option<std::os::fd::OwnedFd>,
+    /// Its log tells of each request.
+    pub debug_log: bool,
     /// Changes to the settings: what is replaced, and by what.
     pub changes: &'static [(&'static str, &'static str)],
 }
@@ -441,6 +443,7 @@
             peers: 0,
             platform: None,
             log: None,
+            debug_log: false,
             changes: &[],
         }
     }
@@ -526,6 +529,7 @@
         };
         let child = command
             .env("NODE_CONFIG", &config)
+            .env("NODE_LOG", if start.debug_log { "debug" } else { "info" })
             .env("NODE_NAME", format!("n{}", start.me))
             .env("NODE_LISTEN", address.to_string())
             .env("NODE_DISCOVERY", discovery.to_string())
--- /dev/null
+++ b/node/tests/guard.rs
@@ -0,0 +1,70 @@
+//! The guards, each with the step that it has to refuse.
+
+use badgerglade::guard::{EarlierAttempt, Guard, RepeatFacts, SendFacts, Violation};
+use caperwind::{Effect, KeyGroup, Outcome};
+use std::time::Duration;
+
+const SOUND: SendFacts = SendFacts {
+    client_closed: false,
+    backend_in_service: true,
+    left: Duration::from_millis(500),
+    told: Duration::from_millis(500),
+};
+const KEYED: Effect = Effect::Keyed { group: KeyGroup::All, window: 1_000 };
+
+#[test]
+fn an_attempt_goes_out_only_while_all_of_it_is_sound() {
+    assert_eq!(SOUND.check(), Ok(()));
+    let broken = [
+        (SendFacts { client_closed: true, ..SOUND }, Violation::SendForClosedClient),
+        (SendFacts { backend_in_service: false, ..SOUND }, Violation::SendToUnwantedBackend),
+        (SendFacts { left: Duration::ZERO, told: Duration::ZERO, ..SOUND }, Violation::SendAfterDeadline),
+        (SendFacts { told: Duration::from_millis(503), ..SOUND }, Violation::SendWithTooMuchTime),
+    ];
+    for (facts, violation) in broken {
+        assert_eq!(facts.check(), Err(violation), "{facts:?}");
+    }
+}
+
+#[test]
+fn a_repeat_is_held_to_its_class_and_its_window() {
+    let check = |effect, outcome, now| {
+        let earlier = [EarlierAttempt { sent: 0, outcome }];
+        RepeatFacts { effect, earlier: &earlier, now, max_attempts: 3, second_copies: true }.check()
+    };
+    for outcome in [None, Some(Outcome::Reset), Some(Outcome::Timeout), Some(Outcome::Error)] {
+        assert_eq!(check(Effect::Pure, outcome, 5_000), Ok(()));
+        assert_eq!(check(Effect::Unsafe, outcome, 1), Err(Violation::RepeatOfUnsafe));
+        assert_eq!(check(KEYED, outcome, 999), Ok(()));
+        assert_eq!(check(KEYED, outcome, 1_000), Err(Violation::RepeatAfterWindow));
+    }
+    for outcome in [Outcome::Full, Outcome::ConnectFailed, Outcome::Moot] {
+        assert_eq!(check(Effect::Unsafe, Some(outcome), 1), Ok(()));
+        assert_eq!(check(KEYED, Some(outcome), 1_000), Ok(()));
+    }
+}
+
+#[test]
+fn attempts_are_bounded_in_all_and_at_once() {
+    let out = EarlierAttempt { sent: 0, outcome: None };
+    let ended = EarlierAttempt { sent: 0, outcome: Some(Outcome::Reset) };
+    let check = |earlier: &[EarlierAttempt], second_copies| {
+        let effect = Effect::Pure;
+        RepeatFacts { effect, earlier, now: 1, max_attempts: 2, second_copies }.check()
+    };
+    assert_eq!(check(&[out], true), Ok(()));
+    assert_eq!(check(&[out], false), Err(Violation::SecondCopy));
+    assert_eq!(check(&[ended], false), Ok(()));
+    assert_eq!(check(&[ended, ended], false), Err(Violation::TooManyAttempts));
+}
+
+#[test]
+fn violations_are_counted_by_name() {
+    let guard = Guard::default();
+    guard.refused(Violation::SecondCopy, "request \"7\"");
+    guard.refused(Violation::SecondCopy, "request \"8\"");
+    assert_eq!(guard.count(Violation::SecondCopy), 2);
+    assert_eq!(guard.report()["second_copy"], 2);
+    assert_eq!(guard.report()["repeat_of_unsafe"], 0);
+    assert!(Violation::ALL.iter().enumerate().all(|(place, v)| *v as usize == place));
+}
--- a/node/tests/supervisor.rs
+++ b/node/tests/supervisor.rs
@@ -1,5 +1,6 @@
 //! Tasks that must not end.
 
+use badgerglade::guard::{Guard, Violation};
 use badgerglade::supervisor::Supervisor;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -9,9 +10,10 @@
 #[tokio::test(start_paused = true)]
 async fn a_task_that_panics_begins_anew() {
     let tasks = LocalSet::new();
-    let supervisor = Rc::new(Supervisor::default());
+    let guard = Rc::new(Guard::default());
+    let supervisor = Supervisor::new(guard.clone());
     let begun = Rc::new(Cell::new(0));
-    let (count, runs) = (begun.clone(), supervisor.clone());
+    let (count, runs) = (begun.clone(), supervisor);
     let ended = tasks.run_until(async move {
         let task = runs.run("test", move || {
             count.set(count.get() + 1);
@@ -21,5 +23,5 @@
         task.await
     });
     assert!(ended.await.is_ok());
-    assert_eq!((begun.get(), supervisor.panics()), (3, 2));
+    assert_eq!((begun.get(), guard.count(Violation::TaskPanicked)), (3, 2));
 }
