--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -15,7 +15,7 @@
 use crate::endpoints::{Endpoint, List};
 use crate::guard::{EarlierAttempt, Guard};
 use crate::reasons::{Reasons, Refused};
-use backend_list::{BackendList, Listed};
+use backend_list::{BackendList, Listed, MAX_BACKENDS};
 use caperwind::{
     Action, Arrival, BackendId, BackendRow, BackendState, Config, CountName, Effect, Event, Gateway, Legacy,
     ListKind, Micros, Reckoned, RefusalReason, RequestId, Spent,
@@ -362,8 +362,13 @@
             let left_out = core.backends.left_out(&list);
             left_out.iter().for_each(|name| self.leaves(core, name));
         }
+        let named = list.endpoints.len();
         let rows = list.endpoints.into_iter().filter_map(|e| self.row(core, e));
         let rows: Vec<BackendRow> = rows.collect();
+        if rows.len() < named {
+            let passed_over = named - rows.len();
+            log::warn!("{passed_over} backends of a list are passed over: {MAX_BACKENDS} are known");
+        }
         core.events.push_back(Event::Backends { kind, version: list.index, rows });
         self.run(core, self.0.clock.now());
     }
--- a/node/src/driver/backend_list.rs
+++ b/node/src/driver/backend_list.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// Backends remembered; further ones are passed over.
-const MAX_BACKENDS: usize = 4096;
+pub(super) const MAX_BACKENDS: usize = 4096;
 /// Those that have gone are remembered for so long: no list is older.
 const REMEMBER_GONE: Micros = 120_000_000;
 
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -120,7 +120,10 @@
             if serving.paired() {
                 let _ = timeout(FIRST_LIST, first.first_list()).await;
             }
-            serving.tell(&Message::Serving);
+            // One that ends does not go on after the others.
+            if !first.closing() {
+                serving.tell(&Message::Serving);
+            }
             accepts.accept(&listener, last).await;
         }
     });
