--- /dev/null
+++ b/soak/src/lib.rs
@@ -0,0 +1,22 @@
+//! A seeded fault soak: real gateway processes between stand-ins, troubles that overlap, an oracle of its own.
+//!
+//! The program is `main.rs`; the rest is public for the tests. See `docs/soak.md`.
+#![deny(unsafe_code)]
+
+pub mod batch;
+pub mod client;
+pub mod coverage;
+pub mod director;
+pub mod gateway;
+pub mod http;
+pub mod link;
+pub mod oracle;
+pub mod process;
+pub mod run;
+pub mod scenario;
+pub mod shim;
+pub mod shrink;
+pub mod stand_in;
+pub mod trace;
+pub mod trouble;
+pub mod world;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -3,33 +3,17 @@
 //! Each run is drawn from its seed and told as one line of JSON. See `docs/soak.md`.
 #![deny(unsafe_code)]
 
-mod client;
-mod coverage;
-mod director;
-mod gateway;
-mod http;
-mod link;
-mod oracle;
-mod process;
-mod run;
-mod scenario;
-mod shim;
-mod shrink;
-mod stand_in;
-mod trace;
-mod trouble;
-mod world;
-
-use anyhow::{bail, ensure, Context};
+use anyhow::{ensure, Context};
 use clap::{Args, Parser, Subcommand};
-use coverage::Coverage;
-use run::{Kept, Report};
-use scenario::{Choice, Scenario};
+use gateway_soak::batch::play_all;
+use gateway_soak::coverage::Coverage;
+use gateway_soak::run::Kept;
+use gateway_soak::scenario::{Choice, Scenario};
+use gateway_soak::shrink::shrink;
+use gateway_soak::trouble::TroubleKind;
+use gateway_soak::world::MAX_SLOTS;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::sync::Arc;
-use tokio::sync::mpsc;
-use trouble::TroubleKind;
 
 #[derive(Parser)]
 #[command(version, about)]
@@ -186,12 +170,15 @@
             Ok(true)
         }
         Command::Run(args) => run_seeds(args).await,
-        Command::Shrink { seed, draw } => shrink::shrink(seed, &draw.choice()?, &draw.kept()?, &draw).await,
+        Command::Shrink { seed, draw } => {
+            let replay = |places: &[usize]| draw.replay(seed, Some(places));
+            shrink(&Scenario::draw(seed, &draw.choice()?), &draw.kept()?, replay).await
+        }
     }
 }
 
 async fn run_seeds(args: RunArgs) -> anyhow::Result<bool> {
-    ensure!((1..=world::MAX_SLOTS).contains(&args.jobs), "--jobs takes 1 to {}", world::MAX_SLOTS);
+    ensure!((1..=MAX_SLOTS).contains(&args.jobs), "--jobs takes 1 to {}", MAX_SLOTS);
     let (choice, kept) = (args.draw.choice()?, args.draw.kept()?);
     let seeds: Vec<u64> = (args.seeds.first..=args.seeds.last).collect();
     let scenarios: Vec<(Scenario, String)> = seeds
@@ -217,39 +204,3 @@
     println!("{held} passed, {} failed", reports.len() - held);
     Ok(held == reports.len())
 }
-
-/// Plays runs, some at a time, and tells each as it ends.
-async fn play_all(
-    scenarios: Vec<(Scenario, String)>,
-    kept: &Kept,
-    jobs: usize,
-    mut tell: impl FnMut(&Scenario, &Report),
-) -> anyhow::Result<Vec<Report>> {
-    let count = scenarios.len();
-    let line = Arc::new(std::sync::Mutex::new(scenarios.into_iter()));
-    let (done, mut ended) = mpsc::unbounded_channel();
-    for slot in 0..jobs.min(count) {
-        let (line, done, kept) = (line.clone(), done.clone(), kept.clone());
-        tokio::spawn(async move {
-            loop {
-                let next = line.lock().ok().and_then(|mut line| line.next());
-                let Some((scenario, replay)) = next else { return };
-                let report = run::play(scenario.clone(), &kept, slot, replay).await;
-                if done.send((scenario, report)).is_err() {
-                    return;
-                }
-            }
-        });
-    }
-    drop(done);
-    let mut reports = Vec::new();
-    while let Some((scenario, report)) = ended.recv().await {
-        let report = report?;
-        tell(&scenario, &report);
-        reports.push(report);
-    }
-    if reports.len() != count {
-        bail!("{} of {count} runs were not played", count - reports.len());
-    }
-    Ok(reports)
-}
--- a/soak/src/shrink.rs
+++ b/soak/src/shrink.rs
@@ -1,9 +1,9 @@
 //! Cuts a broken run down to the troubles that it needs.
 
+use crate::batch::play_all;
 use crate::run::{Kept, Report};
-use crate::scenario::{Choice, Scenario};
+use crate::scenario::Scenario;
 use crate::world::MAX_SLOTS;
-use crate::{play_all, DrawArgs};
 use std::collections::BTreeSet;
 
 /// A run that broke by a narrow margin is played this often before it counts as held.
@@ -13,14 +13,18 @@
     report.broken.iter().map(|b| b.invariant).collect()
 }
 
-/// Takes troubles out one at a time while any invariant that broke at first still breaks. True where nothing broke.
-pub async fn shrink(seed: u64, choice: &Choice, kept: &Kept, draw: &DrawArgs) -> anyhow::Result<bool> {
-    let drawn = Scenario::draw(seed, choice);
+/// Takes troubles out one at a time while any invariant that broke at first still breaks. `replay` names the command that
+/// plays the run with these troubles alone. True where nothing broke.
+pub async fn shrink(
+    drawn: &Scenario,
+    kept: &Kept,
+    replay: impl Fn(&[usize]) -> String,
+) -> anyhow::Result<bool> {
     let mut places: Vec<usize> = (0..drawn.troubles.len()).collect();
-    let first = play_subsets(&drawn, std::slice::from_ref(&places), kept, draw).await?;
+    let first = play_subsets(drawn, std::slice::from_ref(&places), kept, &replay).await?;
     let broke: BTreeSet<_> = first.iter().flat_map(invariants).collect();
     if broke.is_empty() {
-        println!("seed {seed} held in {PLAYS} plays");
+        println!("seed {} held in {PLAYS} plays", drawn.seed);
         return Ok(true);
     }
     loop {
@@ -28,10 +32,10 @@
             .iter()
             .map(|left_out| places.iter().copied().filter(|place| place != left_out).collect())
             .collect();
-        let reports = play_subsets(&drawn, &subsets, kept, draw).await?;
+        let reports = play_subsets(drawn, &subsets, kept, &replay).await?;
         let still = |subset: &&Vec<usize>| {
-            let replay = draw.replay(seed, Some(subset));
-            let plays = reports.iter().filter(|report| report.replay == replay);
+            let command = replay(subset);
+            let plays = reports.iter().filter(|report| report.replay == command);
             plays.flat_map(invariants).any(|invariant| broke.contains(&invariant))
         };
         match subsets.iter().find(still) {
@@ -39,7 +43,7 @@
             _ => break,
         }
     }
-    println!("broken still with: {}", draw.replay(seed, Some(&places)));
+    println!("broken still with: {}", replay(&places));
     Ok(false)
 }
 
@@ -47,11 +51,10 @@
     drawn: &Scenario,
     subsets: &[Vec<usize>],
     kept: &Kept,
-    draw: &DrawArgs,
+    replay: &impl Fn(&[usize]) -> String,
 ) -> anyhow::Result<Vec<Report>> {
     let plays = subsets.iter().flat_map(|subset| std::iter::repeat_n(subset, PLAYS));
-    let scenarios =
-        plays.map(|subset| (drawn.with_troubles(subset), draw.replay(drawn.seed, Some(subset)))).collect();
+    let scenarios = plays.map(|subset| (drawn.with_troubles(subset), replay(subset))).collect();
     let tell = |_: &Scenario, report: &Report| {
         let broken: Vec<_> = report.broken.iter().map(|b| format!("{:?}", b.invariant)).collect();
         println!("{} {}: {}", report.verdict, report.replay, broken.join(" "));
