--- a/node/src/backend.rs
+++ b/node/src/backend.rs
@@ -2,9 +2,10 @@
 
 mod attempt;
 pub mod load_report;
+mod local_failure;
 pub mod message;
 pub mod pool;
 
-pub use attempt::{ClientClosed, Finish};
+pub use attempt::{AttemptLimits, ClientClosed, Finish};
 pub use message::{Message, Payload};
 pub use pool::Pool;
--- a/node/src/backend/attempt.rs
+++ b/node/src/backend/attempt.rs
@@ -7,6 +7,7 @@
 use crate::body::gather::{gather, Gathered};
 use crate::body::upload::UploadSource;
 use crate::body::{MAX_BODY_BYTES, MAX_BUFFERED_BYTES};
+use crate::guard::SendFacts;
 use crate::link::{head_length, Broken};
 use bytes::Bytes;
 use caperwind::{BackendId, LoadReport, Outcome};
@@ -18,7 +19,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{timeout, Instant};
+use tokio::time::{timeout, timeout_at, Instant};
 
 /// An answer in chunks, whose length is not told, is held for so long; what is not whole then is passed on.
 const GATHER_TIME: Duration = Duration::from_millis(25);
@@ -49,6 +50,21 @@
 /// The client has closed its connection: nothing was sent.
 pub struct ClientClosed;
 
+/// How long an attempt has.
+pub struct AttemptLimits {
+    /// Its answer is waited for until then.
+    pub deadline: Deadline,
+    /// It may not begin from then on, however long its connection takes to come up.
+    pub begin_by: Option<Instant>,
+}
+
+impl AttemptLimits {
+    /// Whether it may not begin any more.
+    fn too_late(&self) -> bool {
+        self.begin_by.is_some_and(|by| Instant::now() >= by)
+    }
+}
+
 /// What is known of an answer beside itself.
 struct Received {
     id: BackendId,
@@ -101,13 +117,14 @@
 
 impl Pool {
     /// One attempt: the message goes once, over one connection. Dropping the future closes that
-    /// connection, which is how an attempt is given up. Its answer is waited for until `deadline`.
+    /// connection, which is how an attempt is given up.
     pub async fn attempt(
         self: &Rc<Self>,
         id: BackendId,
         message: &Message,
-        deadline: &Deadline,
+        limits: &AttemptLimits,
     ) -> Result<Finish, ClientClosed> {
+        let deadline = &limits.deadline;
         // Danger: an attempt that begins after its client has closed is work for nobody, and counts.
         if message.client.peer_closed() {
             return Err(ClientClosed);
@@ -119,19 +136,45 @@
             let idle = reused.as_ref().map(|r| r.1);
             let mut connection = match reused.take() {
                 Some((connection, _)) => connection,
-                None => match self.open(id).await {
-                    Ok(_) if message.client.peer_closed() => return Err(ClientClosed),
+                None => match self.open_by(id, limits.begin_by).await {
                     Ok(connection) => connection,
                     Err(outcome) => return Ok(outcome.into()),
                 },
             };
+            match connection.link.ready().await {
+                Ok(()) => {}
+                // It had died unseen: the attempt is yet to begin.
+                Err(_) if idle.is_some() => continue,
+                Err(_) => return Ok(Outcome::ConnectFailed.into()),
+            }
+            // From here on nothing waits until the attempt is on its way.
+            let client_closed = message.client.peer_closed();
+            if client_closed {
+                return Err(ClientClosed);
+            }
+            // Danger: the window of a repeat may have ended while the connection came up.
+            if limits.too_late() {
+                return Ok(Outcome::Moot.into());
+            }
             // Danger: the backend may have begun to drain, or be elsewhere, since the connection was begun.
-            match self.era(id) {
+            let era = self.era(id);
+            match era {
                 None => return Ok(Outcome::Full.into()),
                 Some(era) if era != connection.era => continue,
                 Some(_) => {}
             }
-            let request = message.request(deadline.get().saturating_duration_since(Instant::now()));
+            let left = deadline.get().saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Ok(Outcome::Moot.into());
+            }
+            let told = message.time_to_tell(left);
+            let backend_in_service = era == Some(connection.era);
+            let facts = SendFacts { client_closed, backend_in_service, left, told };
+            if let Err(violation) = facts.check() {
+                self.guard.refused(violation, &format!("{} {}", message.method, message.target));
+                return Ok(Outcome::Moot.into());
+            }
+            let request = message.request(told);
             let (head, before) = (head_length(&request), connection.link.written());
             let length = || message.body.framed().map(|body| head + body);
             match (&message.body, length()) {
@@ -162,6 +205,14 @@
         }
     }
 
+    /// A new connection, which is not waited for beyond the time by which an attempt must begin.
+    async fn open_by(&self, id: BackendId, begin_by: Option<Instant>) -> Result<Connection, Outcome> {
+        match begin_by {
+            None => self.open(id).await,
+            Some(by) => timeout_at(by, self.open(id)).await.unwrap_or(Err(Outcome::Moot)),
+        }
+    }
+
     /// Reads an answer: to its end where it is small, else its beginning, with the rest to follow. A spoilt one
     /// may have run.
     async fn read(self: &Rc<Self>, response: Response<Incoming>, received: Received) -> Finish {
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -13,10 +13,12 @@
 use crate::counter::{Counter, Results};
 use crate::discovery::Subscriber;
 use crate::endpoints::{Endpoint, List};
-use backend_list::{BackendList, Listed};
+use crate::guard::{EarlierAttempt, Guard};
+use crate::reasons::{Reasons, Refused};
+use backend_list::{BackendList, Listed, MAX_BACKENDS};
 use caperwind::{
-    Action, Arrival, BackendId, BackendRow, BackendState, Config, CountName, Event, Gateway, Legacy,
-    ListKind, Micros, Reckoned, RequestId, Spent,
+    Action, Arrival, BackendId, BackendRow, BackendState, Config, CountName, Effect, Event, Gateway, Legacy,
+    ListKind, Micros, Reckoned, RefusalReason, RequestId, Spent,
 };
 use hyper::{Response, StatusCode};
 use report::Tally;
@@ -41,6 +43,7 @@
     Refused {
         wait: Micros,
         tried: bool,
+        why: RefusalReason,
     },
     /// No promise.
     Failed,
@@ -67,6 +70,10 @@
     /// When its last byte had come; 0: it is still coming.
     whole: Micros,
     attempts: u8,
+    /// What may be done with requests of its class.
+    effect: Effect,
+    /// All attempts so far, by their numbers.
+    history: Vec<EarlierAttempt>,
     /// The attempts that are out: where the settings allow second copies, there may be two.
     out: Vec<Out>,
 }
@@ -91,6 +98,7 @@
     clock: Clock,
     pool: Rc<Pool>,
     counter: Rc<Counter>,
+    reasons: Rc<Reasons>,
     wake: Notify,
     ready: Cell<bool>,
     /// Discovery itself has told a list.
@@ -123,7 +131,13 @@
 }
 
 impl Shared {
-    pub fn new(module: Config, seed: u64, pool: Rc<Pool>, counter: Rc<Counter>) -> Result<Self, String> {
+    pub fn new(
+        module: Config,
+        seed: u64,
+        pool: Rc<Pool>,
+        counter: Rc<Counter>,
+        reasons: Rc<Reasons>,
+    ) -> Result<Self, String> {
         let clock = Clock::start();
         let gateway = Gateway::new(module.clone(), seed).map_err(|e| e.to_string())?;
         let core = Core {
@@ -144,6 +158,7 @@
             clock,
             pool,
             counter,
+            reasons,
             wake: Notify::new(),
             ready: Cell::new(false),
             told: Notify::new(),
@@ -155,6 +170,16 @@
         &self.0.module
     }
 
+    /// Counts the steps that were refused.
+    pub fn guard(&self) -> &Rc<Guard> {
+        &self.0.pool.guard
+    }
+
+    /// Connections to backends that could not be begun here, by error.
+    pub fn local_failures(&self) -> serde_json::Map<String, serde_json::Value> {
+        self.0.pool.local_failures.report()
+    }
+
     /// Whether a list of backends is in hand.
     pub fn ready(&self) -> bool {
         self.0.ready.get()
@@ -191,6 +216,7 @@
     pub fn request(&self, message: Message, terms: Terms) -> Result<Ticket, Fault> {
         let mut core = self.0.core.borrow_mut();
         if core.requests.len() >= MOST_OPEN {
+            self.0.reasons.refused(&terms.id, Refused::TooManyOpen);
             return Err((StatusCode::SERVICE_UNAVAILABLE, "too many requests open\n"));
         }
         // Danger: backends know a request by this name: a second one would be taken for a copy of the first.
@@ -214,7 +240,9 @@
         let (name, message) = (terms.id, Rc::new(message));
         let (reply, last) = (Some(reply), Deadline::new(self.0.clock.instant(deadline)));
         let ends = last.clone();
-        let open = Open { name, message, reply, deadline, last, whole, attempts: 0, out: Vec::new() };
+        let effect = self.0.module.classes[usize::from(terms.class.0)].effect;
+        let (history, out) = (Vec::new(), Vec::new());
+        let open = Open { name, message, reply, deadline, last, whole, attempts: 0, effect, history, out };
         core.requests.insert(id, open);
         core.timers.insert((deadline, Due::Deadline(id)));
         core.events.push_back(Event::Request(Arrival {
@@ -334,8 +362,13 @@
             let left_out = core.backends.left_out(&list);
             left_out.iter().for_each(|name| self.leaves(core, name));
         }
+        let named = list.endpoints.len();
         let rows = list.endpoints.into_iter().filter_map(|e| self.row(core, e));
         let rows: Vec<BackendRow> = rows.collect();
+        if rows.len() < named {
+            let passed_over = named - rows.len();
+            log::warn!("{passed_over} backends of a list are passed over: {MAX_BACKENDS} are known");
+        }
         core.events.push_back(Event::Backends { kind, version: list.index, rows });
         self.run(core, self.0.clock.now());
     }
--- a/node/src/driver/actions.rs
+++ b/node/src/driver/actions.rs
@@ -2,8 +2,19 @@
 
 use super::timers::Due;
 use super::{Core, Out, Reply, Shared};
-use crate::backend::{ClientClosed, Finish};
-use caperwind::{Action, AttemptIx, BackendId, Ended, Event, Micros, Outcome, RequestId};
+use crate::backend::{AttemptLimits, ClientClosed, Finish};
+use crate::guard::{EarlierAttempt, RepeatFacts};
+use crate::reasons::outcome_name;
+use caperwind::{Action, AttemptIx, BackendId, Ended, Event, Micros, Outcome, RequestId, SendReason};
+
+/// An attempt that the module wants.
+struct SendOrder {
+    id: RequestId,
+    backend: BackendId,
+    timeout: Option<Micros>,
+    begin_by: Option<Micros>,
+    why: SendReason,
+}
 
 impl Shared {
     /// Tells the counter of as many units as it bears: the process ends.
@@ -31,10 +42,13 @@
 
     fn act(&self, core: &mut Core, now: Micros, action: Action) {
         match action {
-            Action::Send { id, backend, timeout } => self.send(core, now, id, backend, timeout),
-            Action::Refuse { id, wait } => {
+            Action::Send { id, backend, timeout, begin_by, why } => {
+                let order = SendOrder { id, backend, timeout, begin_by, why };
+                self.send(core, now, order);
+            }
+            Action::Refuse { id, wait, why } => {
                 let tried = core.requests.get(&id).is_some_and(|r| r.attempts > 0);
-                self.answer(core, id, Reply::Refused { wait, tried });
+                self.answer(core, id, Reply::Refused { wait, tried, why });
             }
             Action::Fail { id } => self.answer(core, id, Reply::Failed),
             Action::Cancel { id, attempt } => {
@@ -64,23 +78,40 @@
         }
     }
 
-    fn send(&self, core: &mut Core, now: Micros, id: RequestId, backend: BackendId, limit: Option<Micros>) {
+    fn send(&self, core: &mut Core, now: Micros, order: SendOrder) {
+        let SendOrder { id, backend, timeout, begin_by, why } = order;
         let Some(open) = core.requests.get_mut(&id) else { return };
         let attempt = open.attempts;
         open.attempts = attempt.saturating_add(1);
-        let alone = open.out.is_empty() || self.0.module.second_copies;
         let spent = open.message.spent();
-        if open.reply.is_none() || !alone || spent || now >= open.deadline {
+        let facts = RepeatFacts {
+            effect: open.effect,
+            earlier: &open.history,
+            now,
+            max_attempts: self.0.module.max_attempts,
+            second_copies: self.0.module.second_copies,
+        };
+        let allowed = facts.check();
+        if let Err(violation) = allowed {
+            self.guard().refused(violation, &format!("request {:?}, attempt {attempt}", open.name));
+        }
+        let may_begin = allowed.is_ok() && open.reply.is_some() && !spent && now < open.deadline;
+        let outcome = if may_begin { None } else { Some(Outcome::Moot) };
+        open.history.push(EarlierAttempt { sent: now, outcome });
+        if !may_begin {
             let moot = Outcome::Moot.into();
             core.events.push_back(ended(id, attempt, backend, 0, open.reply.is_none(), spent, moot));
             return;
         }
-        if let Some(limit) = limit {
+        self.0.reasons.sent(&open.name, attempt, &backend, why);
+        if let Some(limit) = timeout {
             core.timers.insert((now + limit, Due::Attempt(id, attempt)));
         }
-        let (driver, message, last) = (self.clone(), open.message.clone(), open.last.clone());
+        let (driver, message) = (self.clone(), open.message.clone());
+        let begin_by = begin_by.map(|by| self.0.clock.instant(by));
+        let limits = AttemptLimits { deadline: open.last.clone(), begin_by };
         let task = tokio::task::spawn_local(async move {
-            let finish = driver.0.pool.attempt(backend, &message, &last).await;
+            let finish = driver.0.pool.attempt(backend, &message, &limits).await;
             let mut core = driver.0.core.borrow_mut();
             let now = driver.0.clock.now();
             match finish {
@@ -98,6 +129,15 @@
         let Some(at) = open.out.iter().position(|o| o.attempt == attempt) else { return };
         let out = open.out.swap_remove(at);
         out.task.abort();
+        if let Some(earlier) = open.history.get_mut(usize::from(attempt)) {
+            earlier.outcome = Some(finish.outcome);
+        }
+        log::debug!(
+            "request {:?} attempt {attempt} ended: {} after {} us",
+            open.name,
+            outcome_name(finish.outcome),
+            now.saturating_sub(out.sent)
+        );
         let Finish { outcome, load, billed, answer } = finish;
         if let (Some(answer), Some(reply)) = (answer, open.reply.take_if(|_| outcome == Outcome::Ok)) {
             drop(reply.send(Reply::Served(Box::new(answer))));
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -5,14 +5,16 @@
 use crate::config::{Bounds, Held, Reload, Setup};
 use crate::counter::Counter;
 use crate::handover::{Handover, Message};
+use crate::reasons::CloseReason;
 use crate::server::Server;
 use crate::supervisor::Supervisor;
 use crate::{discovery, driver, endpoints, figures, handover, ops, supervisor};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, LocalOptions};
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout, Instant};
 
@@ -47,7 +49,7 @@
 async fn serve() -> Result<(), String> {
     // Danger: unhandled, either signal ends the process. Handlers come first and stay to the end.
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
-    let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
+    let hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let setup = Setup::from_env()?;
     let (alone, paired, descriptors) = (setup.alone, setup.paired, setup.descriptors);
     let listener = match setup.inherited {
@@ -58,12 +60,18 @@
     let counter = Counter::new(setup.counter, setup.module.counter, alone.counter);
     let figures = figures::Figures::new(&setup.module);
     let last_answer = last_answer(&setup.module);
-    let driver = driver::Shared::new(setup.module, setup.seed, pool.clone(), counter.clone())?;
+    let driver = driver::Shared::new(
+        setup.module,
+        setup.seed,
+        pool.clone(),
+        counter.clone(),
+        figures.reasons.clone(),
+    )?;
     // The module begins with the list it last had, an empty one if none.
     let none = endpoints::List { index: 0, snapshot: true, endpoints: Vec::new() };
     let known = setup.known.as_ref().filter(|list| !list.endpoints.is_empty()).map(|list| list.index);
     driver.backends_known(setup.known.unwrap_or(none));
-    let supervisor = Rc::new(Supervisor::default());
+    let supervisor = Supervisor::new(pool.guard.clone());
     let timers = driver.clone();
     supervisor.run("timers", move || {
         let timers = timers.clone();
@@ -112,29 +120,18 @@
             if serving.paired() {
                 let _ = timeout(FIRST_LIST, first.first_list()).await;
             }
-            serving.tell(&Message::Serving);
+            // One that ends does not go on after the others.
+            if !first.closing() {
+                serving.tell(&Message::Serving);
+            }
             accepts.accept(&listener, last).await;
         }
     });
     log::info!("{}: listening on {}, {descriptors} descriptors", setup.name, setup.listen);
 
-    loop {
-        tokio::select! {
-            _ = term.recv() => break,
-            _ = hangup.recv() => match Reload::from_file() {
-                Ok(new) => {
-                    if let Some(to) = new.discovery {
-                        discovery.send_replace(to);
-                    }
-                    if let Some(to) = new.counter {
-                        counter.move_to(to);
-                    }
-                    log::info!("reloaded: discovery {:?}, counter {:?}", new.discovery, new.counter);
-                }
-                Err(why) => log::error!("reload: {why}; the old settings stay"),
-            },
-        }
-    }
+    // Danger: a reload counts also while the process ends: what it owes the counter goes to where that is now.
+    tokio::task::spawn_local(reload_on(hangup, discovery, counter.clone()));
+    let _ = term.recv().await;
     let began = Instant::now();
     driver.close_within(last_answer.as_micros() as u64);
     if others.succeeded() {
@@ -155,7 +152,7 @@
         // Danger: a request may be on its way on any connection that is open. Those in use are closed by an
         // answer; the longer one has been idle, the less likely it is that one crosses its end.
         let idle = if began.elapsed() < BY_ANSWER { LONG_IDLE } else { Duration::ZERO };
-        server.close_idle(idle);
+        server.close_idle(idle, CloseReason::Ending);
         // Danger: an answer that never ends would hold this process until SIGKILL, and its client for longer.
         if began.elapsed() >= last_answer {
             server.cut_unproven(LAST_BYTES);
@@ -178,10 +175,29 @@
     others.hand_over();
     finish_answers(&server).await;
     others.end().await;
+    server.check_end();
     // Tasks that are left hold nothing that is owed; they end with the process.
     std::process::exit(0);
 }
 
+/// Reads the file anew at each SIGHUP, for as long as the process runs.
+async fn reload_on(mut hangup: Signal, discovery: watch::Sender<SocketAddr>, counter: Rc<Counter>) {
+    while hangup.recv().await.is_some() {
+        match Reload::from_file() {
+            Ok(new) => {
+                if let Some(to) = new.discovery {
+                    discovery.send_replace(to);
+                }
+                if let Some(to) = new.counter {
+                    counter.move_to(to);
+                }
+                log::info!("reloaded: discovery {:?}, counter {:?}", new.discovery, new.counter);
+            }
+            Err(why) => log::error!("reload: {why}; the old settings stay"),
+        }
+    }
+}
+
 /// Tells the counter of the units that it has not been told of: no other process of this gateway can.
 async fn flush_units(driver: &driver::Shared, counter: &Counter, until: Instant) {
     while driver.counts() && Instant::now() < until {
@@ -200,7 +216,7 @@
     while !server.empty() && last_answered.elapsed() < LAST_BYTES {
         server.cut_unproven(LAST_BYTES);
         server.close_behind_answers();
-        server.close_idle(Duration::ZERO);
+        server.close_idle(Duration::ZERO, CloseReason::Ending);
         if server.answering() {
             last_answered = Instant::now();
         }
