--- a/soak/src/oracle/health.rs
+++ b/soak/src/oracle/health.rs
@@ -65,6 +65,15 @@
     }
 }
 
+/// The part of the requests inside their quotas that is served when all is to be well again.
+pub fn recovered(view: &View<'_>) -> Option<f64> {
+    let (from, to) = view.measure?;
+    let usual = view.sent.values().filter(|(at, request)| request.usual && *at >= from && *at < to);
+    let usual: Vec<u64> = usual.map(|(_, request)| request.id).collect();
+    let served = |id: &&u64| matches!(view.ended.get(id), Some((_, ClientEnd::Answered { status: 200, .. })));
+    Some(usual.iter().filter(served).count() as f64 / usual.len().max(1) as f64)
+}
+
 fn check_recovery(view: &View<'_>, found: &mut Vec<Found>) {
     let Some((from, to)) = view.measure else { return };
     let usual = view.sent.values().filter(|(at, request)| request.usual && *at >= from && *at < to);
--- a/soak/src/oracle/mod.rs
+++ b/soak/src/oracle/mod.rs
@@ -120,6 +120,11 @@
     breaks
 }
 
+/// The part of the requests inside their quotas that is served at the end; `None` where the run did not get there.
+pub fn recovered(entries: &[Entry], scenario: &Scenario) -> Option<f64> {
+    health::recovered(&View::of(entries, scenario))
+}
+
 fn troubles_at(entries: &[Entry], scenario: &Scenario, at: Moment) -> Vec<String> {
     let edge = |wanted: &dyn Fn(&Event) -> bool| entries.iter().find(|e| wanted(&e.event)).map(|e| e.at);
     let there = |place: &usize| {
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -44,6 +44,8 @@
     pub failed: usize,
     /// See `requests`.
     pub otherwise: usize,
+    /// The part of the requests inside their quotas that was served in the time in which all is to be well again.
+    pub recovered: Option<f64>,
     /// Attempts at backends.
     pub attempts: usize,
     /// The longest delay of the soak's own timers: where it is long, the machine was too busy to judge by time.
@@ -217,6 +219,7 @@
         refused,
         failed,
         otherwise: requests.saturating_sub(served + refused + failed),
+        recovered: oracle::recovered(entries, scenario),
         attempts: count(&|e| matches!(e, Event::AttemptBegan { .. })),
         max_lag_ms,
         seconds: lasted.as_secs_f64(),
