Say once in the soak what stood twice: the measured requests, opening a connection, processes

recovered and check_recovery chose and counted the same requests; a connection to a gateway was opened in four places; a host kept a list of running processes beside that of all. Bounds and checks are as they were.

--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -19,6 +19,8 @@
 const LONG_ANSWER_TIME: Duration = Duration::from_secs(15);
 /// After a close, the reset that tells of unread bytes comes within this.
 const RESET_FOLLOWS: Duration = Duration::from_millis(15);
+/// A connection is given up that is not up by then.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Connections kept to one gateway.
 const MAX_IDLE: usize = 24;
 /// Bad peers are owed an end within 3 s; they stay so long.
@@ -213,6 +215,12 @@
         Manner::Usual
     }
 
+    /// A new connection to a gateway.
+    async fn open(&self, gateway: usize) -> Option<TcpStream> {
+        let connect = TcpStream::connect(self.gates[gateway].address);
+        timeout(CONNECT_TIMEOUT, connect).await.ok()?.ok()
+    }
+
     /// Takes a connection that rests, or opens one; also whether it had been used before.
     async fn connection(&self, gateway: usize, random: &mut Rng) -> Option<(PlainStream, bool)> {
         loop {
@@ -231,8 +239,7 @@
         if !self.may_open(gateway) {
             return None;
         }
-        let connect = TcpStream::connect(self.gates[gateway].address);
-        let stream = timeout(Duration::from_secs(1), connect).await.ok()?.ok()?;
+        let stream = self.open(gateway).await?;
         let _ = stream.set_nodelay(true);
         Some((PlainStream::new(stream), false))
     }
@@ -242,8 +249,7 @@
         let end = self.send(&planned, stream, &mut random).await;
         // A request that crossed the end of a resting connection is sent once more.
         if end == ClientEnd::Unread && used && self.may_open(planned.gateway) {
-            let connect = TcpStream::connect(self.gates[planned.gateway].address);
-            if let Ok(Ok(stream)) = timeout(Duration::from_secs(1), connect).await {
+            if let Some(stream) = self.open(planned.gateway).await {
                 self.send(&planned, PlainStream::new(stream), &mut random).await;
             }
         }
@@ -407,8 +413,7 @@
 
     /// Sends a part of a request, and stays.
     async fn stop_in_request(&self, gateway: usize, mut random: Rng) {
-        let connect = TcpStream::connect(self.gates[gateway].address);
-        let Ok(Ok(stream)) = timeout(Duration::from_secs(1), connect).await else { return };
+        let Some(stream) = self.open(gateway).await else { return };
         let (mut stream, began) = (PlainStream::new(stream), Instant::now());
         let (_, head) = self.some_request(gateway, 4096);
         let part = &head.as_bytes()[..random.usize(0..=head.len())];
@@ -420,8 +425,7 @@
 
     /// Sends many requests at once over one connection, and leaves at once.
     async fn flood(&self, gateway: usize, mut random: Rng) {
-        let connect = TcpStream::connect(self.gates[gateway].address);
-        let Ok(Ok(mut stream)) = timeout(Duration::from_secs(1), connect).await else { return };
+        let Some(mut stream) = self.open(gateway).await else { return };
         let mut bytes = Vec::new();
         let mut ids = Vec::new();
         for _ in 0..random.usize(2..12) {
--- a/soak/src/gateway.rs
+++ b/soak/src/gateway.rs
@@ -43,9 +43,8 @@
     next_ops_port: AtomicU16,
     /// Held by whoever starts and ends its processes.
     pub lifecycle: tokio::sync::Mutex<()>,
+    /// All processes so far, the oldest first.
     processes: Mutex<Vec<Arc<Process>>>,
-    /// All logs, of processes that have ended as well.
-    all: Mutex<Vec<Arc<Process>>>,
 }
 
 impl GatewayHost {
@@ -76,7 +75,6 @@
             next_ops_port: AtomicU16::new(FIRST_OPS_PORT),
             lifecycle: tokio::sync::Mutex::default(),
             processes: Mutex::default(),
-            all: Mutex::default(),
         })
     }
 
@@ -110,7 +108,6 @@
         };
         let process = Process::start(&world.places, &launch, world.trace.clone(), prepare)?;
         self.lock().push(process.clone());
-        self.all.lock().unwrap_or_else(PoisonError::into_inner).push(process.clone());
         Ok(process)
     }
 
@@ -120,9 +117,7 @@
 
     /// The processes that run, the oldest first.
     pub fn running(&self) -> Vec<Arc<Process>> {
-        let mut processes = self.lock();
-        processes.retain(|process| !process.has_exited());
-        processes.clone()
+        self.lock().iter().filter(|process| !process.has_exited()).cloned().collect()
     }
 
     /// The process that operators call.
@@ -132,8 +127,7 @@
 
     /// All that its processes have logged.
     pub fn logs(&self) -> Vec<String> {
-        let all = self.all.lock().unwrap_or_else(PoisonError::into_inner);
-        all.iter().flat_map(|process| process.log.lines()).collect()
+        self.lock().iter().flat_map(|process| process.log.lines()).collect()
     }
 
     /// How long after SIGTERM a process is killed.
--- a/soak/src/oracle/health.rs
+++ b/soak/src/oracle/health.rs
@@ -2,7 +2,7 @@
 
 use super::view::View;
 use super::{Found, Invariant};
-use crate::trace::{ClientEnd, Entry, Event, Moment};
+use crate::trace::{ClientEnd, Entry, Event, Moment, SentRequest};
 use std::time::Duration;
 
 /// A process is ready by then.
@@ -65,31 +65,38 @@
     }
 }
 
-/// The part of the requests inside their quotas that is served when all is to be well again.
-pub fn recovered(view: &View<'_>) -> Option<f64> {
+/// Requests inside their quotas, sent in the time in which all is to be well again.
+fn measured<'a>(view: &View<'a>) -> Option<Vec<&'a SentRequest>> {
     let (from, to) = view.measure?;
     let usual = view.sent.values().filter(|(at, request)| request.usual && *at >= from && *at < to);
-    let usual: Vec<u64> = usual.map(|(_, request)| request.id).collect();
-    let served = |id: &&u64| matches!(view.ended.get(id), Some((_, ClientEnd::Answered { status: 200, .. })));
-    Some(usual.iter().filter(served).count() as f64 / usual.len().max(1) as f64)
+    Some(usual.map(|(_, request)| *request).collect())
 }
 
-fn check_recovery(view: &View<'_>, found: &mut Vec<Found>) {
-    let Some((from, to)) = view.measure else { return };
-    let usual = view.sent.values().filter(|(at, request)| request.usual && *at >= from && *at < to);
-    let usual: Vec<_> = usual.map(|(_, request)| *request).collect();
-    let served = |id: &u64| matches!(view.ended.get(id), Some((_, ClientEnd::Answered { status: 200, .. })));
-    let part = |all: &[&crate::trace::SentRequest]| {
-        all.iter().filter(|request| served(&request.id)).count() as f64 / all.len().max(1) as f64
+/// The part of some requests that was served.
+fn part_served(view: &View<'_>, requests: &[&SentRequest]) -> f64 {
+    let served = |request: &&&SentRequest| {
+        matches!(view.ended.get(&request.id), Some((_, ClientEnd::Answered { status: 200, .. })))
     };
-    if usual.len() >= ENOUGH && part(&usual) < RECOVERED {
-        let what = format!("{:.2} of {} requests inside their quotas served", part(&usual), usual.len());
+    requests.iter().filter(served).count() as f64 / requests.len().max(1) as f64
+}
+
+/// The part of the requests inside their quotas that is served when all is to be well again.
+pub fn recovered(view: &View<'_>) -> Option<f64> {
+    measured(view).map(|usual| part_served(view, &usual))
+}
+
+fn check_recovery(view: &View<'_>, found: &mut Vec<Found>) {
+    let (Some((_, to)), Some(usual)) = (view.measure, measured(view)) else { return };
+    let part = part_served(view, &usual);
+    if usual.len() >= ENOUGH && part < RECOVERED {
+        let what = format!("{part:.2} of {} requests inside their quotas served", usual.len());
         found.push(Found::new(Invariant::Recovery, to, what));
     }
     for gateway in 0..view.scenario.gateways {
         let here: Vec<_> = usual.iter().copied().filter(|request| request.gateway == gateway).collect();
-        if here.len() >= ENOUGH && part(&here) < SERVES {
-            let what = format!("gateway {gateway} served {:.2} of {} requests", part(&here), here.len());
+        let part = part_served(view, &here);
+        if here.len() >= ENOUGH && part < SERVES {
+            let what = format!("gateway {gateway} served {part:.2} of {} requests", here.len());
             found.push(Found::new(Invariant::Serves, to, what));
         }
     }
