--- a/node/src/backend/local_failure.rs
+++ b/node/src/backend/local_failure.rs
@@ -1,9 +1,8 @@
 //! Connections that could not be begun for reasons of this machine: they say nothing of the backend.
 
 use crate::logging::LimitedLog;
+use crate::reasons::CountsByName;
 use serde_json::{Map, Value};
-use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::io;
 use std::time::Duration;
 
@@ -35,19 +34,19 @@
 /// Counts such failures by error.
 #[derive(Default)]
 pub struct LocalFailures {
-    counts: RefCell<BTreeMap<&'static str, u64>>,
+    counts: CountsByName,
     log: LimitedLog,
 }
 
 impl LocalFailures {
     /// Takes in one.
     pub fn note(&self, name: &'static str) {
-        *self.counts.borrow_mut().entry(name).or_default() += 1;
+        self.counts.count(name);
         self.log.line(&format!("no connection to a backend could be begun: {name}"));
     }
 
     /// All counts by the error's name.
     pub fn report(&self) -> Map<String, Value> {
-        self.counts.borrow().iter().map(|(name, n)| ((*name).to_owned(), (*n).into())).collect()
+        self.counts.report()
     }
 }
--- a/node/src/reasons.rs
+++ b/node/src/reasons.rs
@@ -88,57 +88,63 @@
     }
 }
 
-type Counts = RefCell<BTreeMap<&'static str, u64>>;
+/// Counts under names, of which those that have come up are told.
+#[derive(Default)]
+pub struct CountsByName(RefCell<BTreeMap<&'static str, u64>>);
 
-fn count(counts: &Counts, name: &'static str) {
-    *counts.borrow_mut().entry(name).or_default() += 1;
-}
+impl CountsByName {
+    /// Counts one more.
+    pub fn count(&self, name: &'static str) {
+        *self.0.borrow_mut().entry(name).or_default() += 1;
+    }
 
-fn report(counts: &Counts) -> Map<String, Value> {
-    counts.borrow().iter().map(|(name, n)| ((*name).to_owned(), (*n).into())).collect()
+    /// All counts.
+    pub fn report(&self) -> Map<String, Value> {
+        self.0.borrow().iter().map(|(name, n)| ((*name).to_owned(), (*n).into())).collect()
+    }
 }
 
 /// Counts since the process began.
 #[derive(Default)]
 pub struct Reasons {
-    refused: Counts,
-    repeated: Counts,
-    closed: Counts,
+    refused: CountsByName,
+    repeated: CountsByName,
+    closed: CountsByName,
 }
 
 impl Reasons {
     /// A request was refused.
     pub fn refused(&self, request: &str, why: Refused) {
-        count(&self.refused, why.name());
+        self.refused.count(why.name());
         log::debug!("request {request:?} refused: {}", why.name());
     }
 
     /// An attempt of a request is begun; the first one is none of those that repeat it.
     pub fn sent(&self, request: &str, attempt: u8, backend: &dyn std::fmt::Debug, why: SendReason) {
         if why != SendReason::First {
-            count(&self.repeated, send_reason_name(why));
+            self.repeated.count(send_reason_name(why));
         }
         log::debug!("request {request:?} attempt {attempt} to {backend:?}: {}", send_reason_name(why));
     }
 
     /// A client's connection has ended, after so many requests.
     pub fn closed(&self, connection: u64, requests: u64, last: Option<&str>, why: CloseReason) {
-        count(&self.closed, why.name());
+        self.closed.count(why.name());
         log::debug!("connection {connection} closed: {}; {requests} requests, the last {last:?}", why.name());
     }
 
     /// Refusals by reason.
     pub fn refused_report(&self) -> Map<String, Value> {
-        report(&self.refused)
+        self.refused.report()
     }
 
     /// Further attempts, by how the one before ended; `hedge` beside one that is out.
     pub fn repeated_report(&self) -> Map<String, Value> {
-        report(&self.repeated)
+        self.repeated.report()
     }
 
     /// Ends of clients' connections by reason.
     pub fn closed_report(&self) -> Map<String, Value> {
-        report(&self.closed)
+        self.closed.report()
     }
 }
