Follow a client's requests through the bytes of its connection

What callers saw: a chunked request that followed, on the same connection, a long one that was answered before its body had come was answered 400 "two lengths" though it has one.

Cause: the head for the check of lengths was recorded from the moment the earlier answer was given, so the record began with the rest of the earlier body.

Change: RequestTracker gets all bytes read, and is told by the handler how each body ends. What follows a body is the next head, also in the same read.

--- a/node/src/body.rs
+++ b/node/src/body.rs
@@ -6,6 +6,7 @@
 pub mod download;
 pub mod gather;
 pub mod interruption;
+pub mod scanner;
 pub mod upload;
 
 /// The largest body that is buffered whole, in bytes.
--- a/node/src/meter.rs
+++ b/node/src/meter.rs
@@ -1,14 +1,20 @@
 //! Sockets that count the bytes read and written, detect that the peer has closed, and read ahead of their user.
 
+pub mod request_tracker;
+
 use crate::body::budget::{Budget, Reservation};
-use crate::tcp_info::since_last_data;
+use crate::body::scanner::{BodyFraming, BodyScanner};
+use crate::tcp_info::{since_last_data, unread_bytes};
 use bytes::{Buf, BufMut, BytesMut};
+use nix::errno::Errno;
+use nix::sys::socket::{recv, MsgFlags};
+use request_tracker::RequestTracker;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io::{self, IoSlice};
-use std::mem::MaybeUninit;
 use std::net::Shutdown;
+use std::os::fd::AsRawFd;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{ready, Context, Poll, Waker};
@@ -18,8 +24,6 @@
 
 /// The largest head of an HTTP message that is accepted, in bytes.
 pub const MAX_HEAD_BYTES: usize = 16 * 1024;
-/// Most heads are at most this long, in bytes; a recorded head is searched for its end only from this length on.
-const TYPICAL_HEAD_BYTES: usize = 1024;
 /// How many bytes that follow a request are read ahead while the request is processed, so that the client's closing
 /// of the connection behind them is detected. This is enough for a thousand pipelined requests. Bytes beyond it are
 /// discarded, and the connection is closed after the response.
@@ -75,8 +79,8 @@
     written: Cell<u64>,
     /// Whether the last write would have blocked, so that the user has bytes left to write.
     write_blocked: Cell<bool>,
-    /// The bytes read since `record_next_head`, at least up to the end of the head; `None` before its first call.
-    recorded_head: RefCell<Option<Vec<u8>>>,
+    /// The requests in the bytes read; `None` unless the peer is a client.
+    requests: RefCell<Option<RequestTracker>>,
     /// The count of written bytes at which the current request is complete, and the counter to increment then.
     write_target: RefCell<Option<(u64, Rc<Cell<u64>>)>>,
 }
@@ -84,8 +88,7 @@
 impl Meter {
     /// Creates a meter that owns `stream`.
     pub fn new(stream: TcpStream) -> Rc<Self> {
-        let (ahead, recorded_head, write_target) =
-            (RefCell::default(), RefCell::default(), RefCell::default());
+        let (ahead, requests, write_target) = (RefCell::default(), RefCell::default(), RefCell::default());
         let stream = RefCell::new(Some(Rc::new(stream)));
         Rc::new(Meter {
             stream,
@@ -93,7 +96,7 @@
             read: Cell::new(0),
             written: Cell::new(0),
             write_blocked: Cell::new(false),
-            recorded_head,
+            requests,
             write_target,
         })
     }
@@ -132,44 +135,64 @@
         }
     }
 
-    /// Starts recording the bytes read from now on, to keep the next head.
-    pub fn record_next_head(&self) {
-        let mut head = self.recorded_head.borrow_mut();
-        let mut buffer = head.take().unwrap_or_default();
-        buffer.clear();
-        *head = Some(buffer);
+    /// Follows the requests in the bytes read from now on, which begin with a request's head.
+    pub fn track_requests(&self) {
+        *self.requests.borrow_mut() = Some(RequestTracker::default());
+    }
+
+    /// Returns whether the head of the request that has been read last has the field `field`; `None` if that is not
+    /// known. This finds a `content-length` next to `transfer-encoding: chunked`, which hyper does not report although
+    /// a backend might go by it. To be called before [`Meter::begin_body`].
+    pub fn head_has_field(&self, field: &str) -> Option<bool> {
+        self.requests.borrow().as_ref()?.head_has_field(field)
     }
 
-    /// Returns whether the recorded head has the field `field`; `None` if no complete head is recorded. This finds a
-    /// `content-length` next to `transfer-encoding: chunked`, which hyper does not report although a backend might go
-    /// by it.
-    pub fn recorded_head_has_field(&self, field: &str) -> Option<bool> {
-        let head = self.recorded_head.borrow();
-        let mut lines = head.as_deref()?.split(|b| *b == b'\n').map(|l| l.trim_ascii_end());
-        let mut found = false;
-        lines.find(|line| {
-            let name = line.split(|b| *b == b':').next().unwrap_or_default().trim_ascii();
-            found |= name.eq_ignore_ascii_case(field.as_bytes());
-            line.is_empty()
-        })?;
-        Some(found)
+    /// Records how the body of the request whose head has been read last ends.
+    pub fn begin_body(&self, framing: BodyFraming) {
+        if let Some(requests) = self.requests.borrow_mut().as_mut() {
+            requests.begin_body(framing);
+        }
     }
 
-    /// Appends `bytes` to the recorded head, if one is being recorded and not complete.
-    fn record_head(&self, bytes: &[u8]) {
-        if let Some(head) = self.recorded_head.borrow_mut().as_mut() {
-            let space = MAX_HEAD_BYTES.saturating_sub(head.len());
-            // Recording stops once the head is complete, so that a large body is not kept.
-            if head.len() < TYPICAL_HEAD_BYTES || !head.windows(4).any(|w| w == b"\r\n\r\n") {
-                head.extend_from_slice(&bytes[..bytes.len().min(space)]);
+    /// Returns whether the current request's body has arrived whole at this machine, read or unread. False if this is
+    /// not known, as `budget` has no memory to spare to look for the end of a chunked body in the socket.
+    pub fn body_arrived(&self, budget: &Budget) -> bool {
+        let Some(mut body) = self.requests.borrow().as_ref().and_then(RequestTracker::body) else {
+            return false;
+        };
+        body.scan(&self.ahead.borrow().bytes);
+        if body.is_complete() {
+            return true;
+        }
+        // Behind discarded bytes the position in the body is not known.
+        let unread = if self.has_discarded() { 0 } else { self.unread_in_socket() };
+        match body {
+            BodyScanner::Length(left) => left <= unread as u64,
+            BodyScanner::Chunked(_) if unread == 0 => false,
+            BodyScanner::Chunked(_) => {
+                let Some(_reservation) = budget.reserve_spare(unread) else { return false };
+                let mut bytes = vec![0; unread];
+                let peeked = self.peek(&mut bytes).unwrap_or_default();
+                body.scan(&bytes[..peeked]);
+                body.is_complete()
             }
         }
     }
 
+    /// Returns the number of bytes that have arrived at this machine, read or unread.
+    pub fn received(&self) -> u64 {
+        self.read.get() + (self.ahead.borrow().bytes.len() + self.unread_in_socket()) as u64
+    }
+
+    /// Returns the number of bytes received that have not been read from the socket.
+    fn unread_in_socket(&self) -> usize {
+        self.stream().ok().and_then(|stream| unread_bytes(&stream)).unwrap_or_default()
+    }
+
     /// Returns whether the socket is open and nothing is unread, asking the kernel rather than the runtime.
     pub fn is_open_and_empty(&self) -> bool {
         self.ahead.borrow().bytes.is_empty()
-            && self.peek().is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+            && self.peek_one().is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
     /// Returns the time since the last bytes arrived, whether or not they have been read; zero if it is not known.
@@ -178,12 +201,17 @@
     }
 
     /// Peeks at one byte in the socket; 0 means that the peer has ended its sending.
-    fn peek(&self) -> io::Result<usize> {
+    fn peek_one(&self) -> io::Result<usize> {
+        self.peek(&mut [0])
+    }
+
+    /// Copies bytes from the socket without taking them out, and returns their number.
+    fn peek(&self, buffer: &mut [u8]) -> io::Result<usize> {
         let stream = self.stream()?;
         loop {
-            match SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit()]) {
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                result => return result,
+            match recv(stream.as_raw_fd(), buffer, MsgFlags::MSG_PEEK) {
+                Err(Errno::EINTR) => {}
+                result => return Ok(result?),
             }
         }
     }
@@ -199,7 +227,7 @@
         match readiness {
             Poll::Ready(Ok(ready)) if ready.is_read_closed() => true,
             // Without a notification, the end is still found if no unread bytes precede it.
-            _ => match self.peek() {
+            _ => match self.peek_one() {
                 Ok(n) => n == 0,
                 Err(e) => e.kind() != io::ErrorKind::WouldBlock,
             },
@@ -311,7 +339,9 @@
             meter.ahead.borrow_mut().move_into(buf);
         }
         meter.read.set(meter.read.get() + (buf.filled().len() - filled_before) as u64);
-        meter.record_head(&buf.filled()[filled_before..]);
+        if let Some(requests) = meter.requests.borrow_mut().as_mut() {
+            requests.feed(&buf.filled()[filled_before..]);
+        }
         Poll::Ready(Ok(()))
     }
 }
--- a/node/src/server/connection.rs
+++ b/node/src/server/connection.rs
@@ -154,7 +154,7 @@
             guard,
             serving_task: OnceCell::new(),
         };
-        connection.meter.record_next_head();
+        connection.meter.track_requests();
         Rc::new(connection)
     }
 
@@ -187,9 +187,6 @@
         if !matches!(phase, Phase::Processing | Phase::Responding) {
             self.backpressure.reset();
         }
-        if phase == Phase::Idle {
-            self.meter.record_next_head();
-        }
     }
 
     /// Enters the phase in which a body is received. The time and the bytes read count from the start of the head.
--- a/node/src/server/handler.rs
+++ b/node/src/server/handler.rs
@@ -8,6 +8,7 @@
 use crate::backend::{Message, Payload};
 use crate::body::gather::{gather, Gathered};
 use crate::body::interruption::UploadInterruption;
+use crate::body::scanner::BodyFraming;
 use crate::body::upload::UploadSource;
 use crate::body::MAX_BUFFERED_BYTES;
 use crate::driver::{PendingReply, Reply};
@@ -17,7 +18,7 @@
 use caperwind::{ClassIndex, Micros};
 use http_body_util::{Either, Full};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER, TRANSFER_ENCODING};
+use hyper::header::{HeaderValue, CONNECTION, CONTENT_LENGTH, RETRY_AFTER};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use std::rc::Rc;
@@ -48,6 +49,11 @@
     answer
 }
 
+/// Returns how the end of a request's body is told.
+fn body_framing(body: &Incoming) -> BodyFraming {
+    body.size_hint().exact().map_or(BodyFraming::Chunked, BodyFraming::Length)
+}
+
 /// Builds the message to forward to a backend, without the hop-by-hop headers. `time_limit` is in microseconds.
 fn build_message(head: Parts, body: Payload, time_limit: Micros, client: &ClientConnection) -> Message {
     let mut headers = head.headers;
@@ -70,6 +76,9 @@
         if client.phase() == Phase::Idle {
             client.enter_phase(Phase::ReceivingHead);
         }
+        let framing = body_framing(request.body());
+        let length_field = client.meter.head_has_field(CONTENT_LENGTH.as_str());
+        client.meter.begin_body(framing);
         if request.uri().path() == "/healthz" {
             return self.health_check(request.method());
         }
@@ -79,10 +88,9 @@
             // The end of an invalid request is uncertain, so the connection cannot be used further.
             Err((status, text)) => return closing_answer(status, text),
         };
-        let chunked = head.headers.contains_key(TRANSFER_ENCODING);
         // Request smuggling: a backend that uses the length instead of the chunks could take a part of the body for
         // another request.
-        if chunked && client.meter.recorded_head_has_field("content-length") != Some(false) {
+        if framing == BodyFraming::Chunked && length_field != Some(false) {
             return closing_answer(StatusCode::BAD_REQUEST, "two lengths\n");
         }
         client.record_request(&metadata.correlation_id);
--- a/node/src/tcp_info.rs
+++ b/node/src/tcp_info.rs
@@ -1,4 +1,4 @@
-//! Kernel statistics of a TCP connection (`TCP_INFO`, Linux).
+//! What the kernel knows of a TCP connection (`TCP_INFO` and `FIONREAD`, Linux).
 
 use std::mem::{offset_of, size_of, MaybeUninit};
 use std::os::fd::AsRawFd;
@@ -29,3 +29,13 @@
     let needed = offset_of!(libc::tcp_info, tcpi_last_data_recv) + size_of::<u32>();
     (length as usize >= needed).then(|| Duration::from_millis(u64::from(info.tcpi_last_data_recv)))
 }
+
+/// Returns the number of bytes that the connection has received and nobody has read; `None` if the kernel does not
+/// report it.
+#[allow(unsafe_code)]
+pub fn unread_bytes(stream: &TcpStream) -> Option<usize> {
+    let mut bytes: libc::c_int = 0;
+    // SAFETY: the descriptor is open while the stream is borrowed, and the call writes one integer.
+    let status = unsafe { libc::ioctl(stream.as_raw_fd(), libc::FIONREAD, &mut bytes) };
+    usize::try_from(bytes).ok().filter(|_| status == 0)
+}
--- a/node/tests/long_uploads.rs
+++ b/node/tests/long_uploads.rs
@@ -170,6 +170,28 @@
     assert_eq!(client.ask(&request("consulta", 9, 2000)).status(), 200);
 }
 
+/// Guards against refusing a chunked request, as if it also had a length, because it follows a body that was answered
+/// before it was complete.
+#[test]
+fn a_chunked_request_behind_a_body_that_was_answered_early() {
+    let (address, _connections) = raw_backend(|mut reader| {
+        std::thread::spawn(move || {
+            read_head(&mut reader);
+            write(&reader, &answer("200 OK", "", "x"));
+            let _ = std::io::copy(&mut reader, &mut std::io::sink());
+        });
+    });
+    let fixture = start_fixture(address);
+    let mut client = fixture.gateway.client();
+    client.send(&head(Some(BODY_BYTES)));
+    client.send(&"y".repeat(100_000));
+    assert_eq!(client.read_answer().expect("an answer").status(), 200);
+    client.send(&"y".repeat(BODY_BYTES - 100_000));
+    client.send(&head(None));
+    let answer = client.ask(&(piece(true, 10) + "0\r\n\r\n"));
+    assert_eq!(answer.status(), 200, "{}", fixture.gateway.log());
+}
+
 /// Returns a client that has sent a part of its body, and has received the beginning of an answer that never ends.
 fn client_with_partial_answer() -> (Fixture, Client) {
     let (address, _connections) = early_answering_backend(
