Count a request's time from its arrival, also while its backend takes no more of the body

Cause: a long body is read as fast as its backend takes it, and the request's time began when the gateway had read the last byte. Unread in the socket, that byte never began it: the deadline stayed at 900 s, that of an upload in progress.

Change: Meter::body_arrived tells from the bytes read, read ahead and standing in the socket whether the body has arrived whole, with a length or in chunks. While a body is read, wait_for_arrival looks every 40 ms; Driver::body_arrived brings the deadline forward, and the module is told by Event::BodyArrived. A request that has arrived does not make way for a new connection either.

--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -306,23 +306,49 @@
         self.0.state.borrow().backends.knows_backend(name)
     }
 
-    /// Records that the last byte of a request body has arrived. The request's time limit, in microseconds, starts
-    /// now.
-    pub fn body_received(&self, pending: &PendingReply, time_limit: Micros) {
+    /// Records that the last byte of a request body has arrived at this machine, although a part of the body is still
+    /// to be read: its backend does not take it yet. The client waits `time_left` microseconds from now.
+    pub fn body_arrived(&self, pending: &PendingReply, time_left: Micros) {
+        let mut state = self.0.state.borrow_mut();
+        let now = self.0.clock.now();
+        if let Some(deadline) = self.advance_deadline(&mut state, now, pending, time_left) {
+            state.events.push_back(Event::BodyArrived { id: pending.id, deadline });
+            self.run(&mut state, now);
+        }
+    }
+
+    /// Records that a request body has been read to its end. The client waits `time_left` microseconds from now.
+    pub fn body_received(&self, pending: &PendingReply, time_left: Micros) {
         let mut state = self.0.state.borrow_mut();
         let (id, now) = (pending.id, self.0.clock.now());
-        let deadline = now + time_limit.saturating_sub(DEADLINE_MARGIN);
-        let deadline = self.0.shutdown_deadline.get().map_or(deadline, |limit| deadline.min(limit));
-        // The deadline is set even if the request has its final result: an early response may still be in transfer.
-        pending.deadline.set(self.0.clock.instant(deadline));
-        let Some(request) = state.requests.get_mut(&id) else { return };
+        if let Some(deadline) = self.advance_deadline(&mut state, now, pending, time_left) {
+            if let Some(request) = state.requests.get_mut(&id) {
+                request.received_at = now;
+            }
+            state.events.push_back(Event::Uploaded { id, deadline });
+            self.run(&mut state, now);
+        }
+    }
+
+    /// Brings forward the deadline of a request whose body was still being received, as its client waits `time_left`
+    /// microseconds from now. Returns the deadline, unless the request has ended.
+    fn advance_deadline(
+        &self,
+        state: &mut DriverState,
+        now: Micros,
+        pending: &PendingReply,
+        time_left: Micros,
+    ) -> Option<Micros> {
+        let deadline = now + time_left.saturating_sub(DEADLINE_MARGIN);
+        // An early response may still be in transfer although the request has its final result.
+        pending.deadline.set(pending.deadline.get().min(self.0.clock.instant(deadline)));
+        let request = state.requests.get_mut(&pending.id)?;
+        let deadline = deadline.min(request.deadline);
         let old_deadline = std::mem::replace(&mut request.deadline, deadline);
-        request.received_at = now;
-        state.timers.remove(&(old_deadline, TimerKind::Deadline(id)));
-        state.timers.insert((deadline, TimerKind::Deadline(id)));
-        state.events.push_back(Event::Uploaded { id, deadline });
+        state.timers.remove(&(old_deadline, TimerKind::Deadline(pending.id)));
+        state.timers.insert((deadline, TimerKind::Deadline(pending.id)));
         self.0.wake.notify_one();
-        self.run(&mut state, now);
+        Some(deadline)
     }
 
     /// Disables or enables a backend for an operator. The backend need not be listed.
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -234,8 +234,12 @@
             remaining.filter_map(|c| Some((c.eviction_rank(now)?, c.phase_began(), c))).collect();
         candidates.sort_by_key(|(rank, phase_began, _)| (*rank, *phase_began));
         let candidate_count = candidates.len();
-        let is_slow = |rank| matches!(rank, EvictionRank::SlowHead | EvictionRank::SlowBody);
-        let evictable = candidates.into_iter().find(|(rank, _, c)| is_slow(*rank) || c.nothing_received());
+        let evictable = candidates.into_iter().find(|(rank, _, c)| match rank {
+            EvictionRank::SlowHead => true,
+            // Its backend rather than its client may be slow.
+            EvictionRank::SlowBody => !c.request_arrived(&self.body_budget),
+            EvictionRank::Silent | EvictionRank::Idle => c.nothing_received(),
+        });
         let fresh_count = connections.values().filter(|c| c.is_fresh(now)).count();
         let Some((rank, _, client)) =
             evictable.filter(|(rank, ..)| *rank == EvictionRank::Silent || fresh_count < candidate_count)
--- a/node/src/server/connection.rs
+++ b/node/src/server/connection.rs
@@ -1,6 +1,7 @@
 //! A client connection: its phase, its timeouts and its eviction rank.
 
 use crate::body::answer_limit::{LengthClass, STALL_TIMEOUT};
+use crate::body::budget::Budget;
 use crate::body::download::Progress;
 use crate::body::interruption::{AnswerInterruption, UploadInterruption};
 use crate::body::upload::Backpressure;
@@ -114,6 +115,8 @@
     pub backpressure: Rc<Backpressure>,
     /// Whether the request body is still being received although the request has been answered.
     pub draining_upload: Cell<bool>,
+    /// Whether the whole request has been found to have arrived while its body was still being read.
+    request_arrived: Cell<bool>,
     /// Notified when the connection is to close after its current answer.
     pub close_requested: Notify,
     /// Whether the connection has been evicted.
@@ -143,6 +146,7 @@
             write_progress: Cell::new((0, Instant::now())),
             backpressure: Rc::default(),
             draining_upload: Cell::new(false),
+            request_arrived: Cell::new(false),
             answer_progress: Cell::new(None),
             close_requested: Notify::new(),
             evicted: Cell::new(false),
@@ -181,6 +185,7 @@
     /// Enters a phase: restarts its clock and its count of bytes read.
     pub fn enter_phase(&self, phase: Phase) {
         self.phase.set(phase);
+        self.request_arrived.set(false);
         self.phase_began.set(Instant::now());
         self.read_before_phase.set(self.meter.read());
         // The time for which a body was paused still counts while its request is processed or is answered early.
@@ -194,6 +199,17 @@
         self.phase.set(Phase::ReceivingBody);
     }
 
+    /// Whether the whole request has arrived at this machine, so that it must get its answer although a part of its
+    /// body may still be unread. Once this has been found, it holds until the next phase. `budget` provides the memory
+    /// for looking into the socket.
+    pub fn request_arrived(&self, budget: &Budget) -> bool {
+        let arrived = self.phase() == Phase::Processing
+            || self.request_arrived.get()
+            || self.meter.body_arrived(budget);
+        self.request_arrived.set(arrived);
+        arrived
+    }
+
     /// The number of bytes read since the phase began.
     pub fn read_in_phase(&self) -> u64 {
         self.meter.read().saturating_sub(self.read_before_phase.get())
@@ -205,7 +221,8 @@
     pub fn request_overdue(&self) -> bool {
         let by_bytes = Duration::from_secs_f64(self.read_in_phase() as f64 / MIN_UPLOAD_RATE);
         let late = self.phase_age() >= REQUEST_TIMEOUT + by_bytes + self.backpressure.paused();
-        late && !self.meter.write_blocked() && self.meter.is_open_and_empty()
+        let complete = self.request_arrived.get();
+        late && !complete && !self.meter.write_blocked() && self.meter.is_open_and_empty()
     }
 
     /// Restarts the clock that measures whether the client reads an answer.
@@ -318,7 +335,9 @@
     /// is gone.
     pub fn abort(&self, reason: AbortReason) {
         let client_gone = matches!(reason, AbortReason::ClientClosed | AbortReason::ClientStopped);
-        if self.phase() == Phase::Processing && !client_gone {
+        let request_taken = self.phase() == Phase::Processing
+            || (self.phase() == Phase::ReceivingBody && self.request_arrived.get());
+        if request_taken && !client_gone {
             let step = format!("request {:?}, {reason:?}", self.last_correlation_id.borrow());
             return self.guard.record(Violation::CloseOverRequest, &step);
         }
--- a/node/src/server/handler.rs
+++ b/node/src/server/handler.rs
@@ -6,6 +6,7 @@
 use crate::admission::{admit, Rejection, RequestMetadata};
 use crate::backend::message::strip_hop_by_hop;
 use crate::backend::{Message, Payload};
+use crate::body::budget::Budget;
 use crate::body::gather::{gather, Gathered};
 use crate::body::interruption::UploadInterruption;
 use crate::body::scanner::BodyFraming;
@@ -21,8 +22,13 @@
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_LENGTH, RETRY_AFTER};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use std::rc::Rc;
+use std::pin::pin;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
+use tokio::time::sleep;
+
+/// The interval between checks whether a request whose body is still being read has arrived whole.
+const ARRIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(40);
 
 /// An answer to a client.
 pub(super) type Answer = Response<Either<Full<Bytes>, StreamedAnswer>>;
@@ -213,26 +219,34 @@
                 return closing_answer(status, text);
             }
         };
-        let early_reply = tokio::select! {
-            reply = pending.wait() => Some(reply),
-            ended = source.wait_end() => {
-                if let Err(reason) = ended {
-                    upload.interrupt(reason);
-                    return closing_answer(StatusCode::BAD_REQUEST, "broken body\n");
+        // Counted as in progress from when the whole request has arrived, or from an earlier answer on.
+        let mut in_progress = None;
+        let early_reply = loop {
+            tokio::select! {
+                reply = pending.wait() => break Some(reply),
+                ended = source.wait_end() => {
+                    if let Err(reason) = ended {
+                        upload.interrupt(reason);
+                        return closing_answer(StatusCode::BAD_REQUEST, "broken body\n");
+                    }
+                    break None;
+                }
+                () = wait_for_arrival(Rc::downgrade(client), self.body_budget.clone()), if in_progress.is_none() => {
+                    in_progress = Some(self.metrics.start_request());
+                    self.driver.body_arrived(&pending, remaining_time(time_limit, client));
                 }
-                None
             }
         };
+        let in_progress = in_progress.unwrap_or_else(|| self.metrics.start_request());
         let Some(reply) = early_reply else {
             upload.complete();
             client.enter_phase(Phase::Processing);
-            let in_progress = self.metrics.start_request();
             self.driver.body_received(&pending, remaining_time(time_limit, client));
             return self.build_answer(pending.wait().await, request, in_progress, client).await;
         };
         upload.interrupt(UploadInterruption::AnsweredEarly);
         self.drain_upload(source, pending, time_limit, client);
-        self.build_answer(reply, request, self.metrics.start_request(), client).await
+        self.build_answer(reply, request, in_progress, client).await
     }
 
     /// Reads the rest of a body whose request has been answered early, in a task of its own. The time limit of an
@@ -246,13 +260,23 @@
     ) {
         client.draining_upload.set(true);
         // A weak reference, as a strong one would keep the socket open after the connection has ended.
-        let (driver, client) = (self.driver.clone(), Rc::downgrade(client));
+        let (driver, client, budget) = (self.driver.clone(), Rc::downgrade(client), self.body_budget.clone());
+        let time_left = move |client: &Weak<ClientConnection>| {
+            client.upgrade().map_or(0, |c| remaining_time(time_limit, &c))
+        };
         tokio::task::spawn_local(async move {
-            source.drain().await;
+            let mut drained = pin!(source.drain());
+            tokio::select! {
+                () = &mut drained => {}
+                () = wait_for_arrival(client.clone(), budget) => {
+                    driver.body_arrived(&pending, time_left(&client));
+                    drained.await;
+                }
+            }
             if let Some(client) = client.upgrade() {
                 client.draining_upload.set(false);
             }
-            driver.body_received(&pending, time_limit);
+            driver.body_received(&pending, time_left(&client));
         });
     }
 
@@ -303,6 +327,21 @@
     time_limit.saturating_sub(client.meter.since_last_data().as_micros() as Micros)
 }
 
+/// Waits until the whole request on a connection has arrived at this machine. Its body is read only as fast as its
+/// backend takes it, so this may be long before its last byte is read. Never returns if the connection ends first.
+async fn wait_for_arrival(client: Weak<ClientConnection>, budget: Budget) {
+    let mut received_before = None;
+    loop {
+        sleep(ARRIVAL_CHECK_INTERVAL).await;
+        let Some(client) = client.upgrade() else { return std::future::pending().await };
+        // While bytes still arrive, the end is not looked for.
+        let received = Some(client.meter.received());
+        if std::mem::replace(&mut received_before, received) == received && client.request_arrived(&budget) {
+            return;
+        }
+    }
+}
+
 /// Returns the answer to a refused request, with a `Retry-After` header unless `retry_after` (in microseconds) is 0.
 fn refusal_answer(retry_after: Micros, attempted: bool) -> Answer {
     let status = if attempted { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::TOO_MANY_REQUESTS };
--- /dev/null
+++ b/node/tests/stalled_uploads.rs
@@ -0,0 +1,224 @@
+//! Long requests that have arrived whole at the gateway's machine, while the backend that they are sent to takes no
+//! more of them.
+
+mod common;
+
+use common::*;
+use socket2::{Domain, SockRef, Socket, Type};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
+use std::sync::mpsc::{channel, Receiver, Sender, TryRecvError};
+use std::time::{Duration, Instant};
+
+/// The clients' time from the end of the body to the deadline, in milliseconds.
+const CLIENT_WAIT_MS: u64 = 700;
+/// How long after its request's last byte a client has its final answer: half a second after its time is over, and
+/// 50 ms that every time limit is longer on sockets.
+const LATEST_ANSWER: Duration = Duration::from_millis(CLIENT_WAIT_MS + 500 + 50);
+/// The segment size of an Ethernet. On loopback, segments of 64 KiB and buffers to match would let a backend's machine
+/// take a whole body.
+const ETHERNET_SEGMENT_BYTES: u32 = 1460;
+/// The receive buffer of the backend, in bytes.
+const BACKEND_BUFFER_BYTES: usize = 4096;
+/// The length of a body, in bytes: more than the backend's machine takes, and less than the gateway's machine does.
+const BODY_BYTES: usize = 300 * 1024;
+/// The same where the gateway reads less of the body.
+const SHORTER_BODY_BYTES: usize = 180 * 1024;
+/// The number of client connections that the gateway accepts with the descriptor limit of the tests.
+const MAX_CLIENTS: u64 = 102;
+/// The number of connections that the backend's machine keeps for it.
+const BACKLOG: i32 = 128;
+
+/// A backend that takes the head of each request, answers a `POST` with a text at once, and then takes nothing more.
+struct SilentBackend {
+    address: SocketAddr,
+    /// Receives a message for each head of a `POST`.
+    heads: Receiver<()>,
+    /// Ends the backend's connections when it is dropped.
+    _end: Sender<()>,
+}
+
+/// Reads a request's head.
+fn read_head(reader: &mut BufReader<TcpStream>) -> String {
+    let mut head = String::new();
+    while reader.read_line(&mut head).is_ok_and(|n| n > 2) {}
+    head
+}
+
+impl SilentBackend {
+    fn start(answer: &'static str) -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.set_recv_buffer_size(BACKEND_BUFFER_BYTES).expect("an option");
+        socket.set_tcp_mss(ETHERNET_SEGMENT_BYTES).expect("an option");
+        let address: SocketAddr = format!("{}:0", unique_loopback_ip()).parse().expect("an address");
+        socket.bind(&address.into()).expect("a free port");
+        socket.listen(BACKLOG).expect("a listener");
+        let listener = TcpListener::from(socket);
+        listener.set_nonblocking(true).expect("an option");
+        let address = listener.local_addr().expect("an address");
+        let ((head_sender, heads), (_end, ended)) = (channel(), channel::<()>());
+        std::thread::spawn(move || {
+            let mut connections = Vec::new();
+            while ended.try_recv() == Err(TryRecvError::Empty) {
+                let Ok((stream, _)) = listener.accept() else {
+                    std::thread::sleep(Duration::from_millis(1));
+                    continue;
+                };
+                stream.set_nonblocking(false).expect("an option");
+                // A small buffer leaves the body in the socket.
+                let mut connection = BufReader::with_capacity(256, stream);
+                if read_head(&mut connection).starts_with("POST") {
+                    let _ = connection.get_ref().write_all(answer.as_bytes());
+                    let _ = head_sender.send(());
+                }
+                connections.push(connection);
+            }
+        });
+        SilentBackend { address, heads, _end }
+    }
+
+    fn fixture(&self) -> Fixture {
+        Fixture::new(&GatewayOptions::default(), vec![entry("s-0", self.address, "SERVING")], fake_counter())
+    }
+}
+
+/// Returns the number of bytes written to a socket that its peer's machine has not acknowledged.
+fn unacknowledged(stream: &TcpStream) -> usize {
+    let mut bytes: libc::c_int = 0;
+    // SAFETY: the descriptor is open, and the call writes one integer.
+    let status = unsafe { libc::ioctl(stream.as_raw_fd(), libc::TIOCOUTQ, &mut bytes) };
+    assert_eq!(status, 0, "an answer of the kernel");
+    usize::try_from(bytes).expect("a count")
+}
+
+/// A client's connection with the segments of an Ethernet, and a second handle on its socket.
+fn connect_client(gateway: SocketAddr) -> (Client, TcpStream) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    SockRef::from(&socket).set_tcp_mss(ETHERNET_SEGMENT_BYTES).expect("an option");
+    socket.connect(&gateway.into()).expect("the gateway listens");
+    let stream = TcpStream::from(socket);
+    let handle = stream.try_clone().expect("a second handle");
+    (Client::from_stream(stream), handle)
+}
+
+/// Waits until the gateway's machine has acknowledged all that was written to this socket.
+fn wait_until_acknowledged(stream: &TcpStream) {
+    let began = Instant::now();
+    while unacknowledged(stream) > 0 {
+        assert!(began.elapsed() < TEST_TIMEOUT, "the gateway's machine takes the whole request");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// Returns the head of a request with a body of this length, and the body in wire form: with a length, or in chunks.
+fn upload(body_bytes: usize, chunked: bool) -> (String, String) {
+    let piece = "y".repeat(body_bytes / 10);
+    let (field, body) = if chunked {
+        let chunk = format!("{:x}\r\n{piece}\r\n", piece.len());
+        ("transfer-encoding: chunked".to_owned(), chunk.repeat(10) + "0\r\n\r\n")
+    } else {
+        (format!("content-length: {}", piece.len() * 10), piece.repeat(10))
+    };
+    let head = request("orden-nueva", 7, CLIENT_WAIT_MS)
+        .replace("content-length: 4\r\n\r\n{42}", &format!("{field}\r\n\r\n"));
+    (head, body)
+}
+
+/// Sends a request of which the backend gets only a part. Returns the client once the gateway's machine has
+/// acknowledged the last byte, and the time of that.
+fn send_whole_request(
+    fixture: &Fixture,
+    backend: &SilentBackend,
+    body_bytes: usize,
+    chunked: bool,
+) -> (Client, Instant) {
+    let (mut client, socket) = connect_client(fixture.gateway.address);
+    let (head, body) = upload(body_bytes, chunked);
+    let (first, rest) = body.split_at(100_000);
+    client.send(&head);
+    client.send(first);
+    backend.heads.recv_timeout(TEST_TIMEOUT).expect("the backend gets the head");
+    client.send(rest);
+    wait_until_acknowledged(&socket);
+    (client, Instant::now())
+}
+
+/// Guards against a request that gets no answer while its backend is silent, since the gateway reads the body only as
+/// fast as the backend takes it and started the request's time when it had read the last byte itself.
+#[test]
+fn a_request_is_answered_in_time_though_its_backend_takes_no_more_of_the_body() {
+    for chunked in [false, true] {
+        let backend = SilentBackend::start("");
+        let fixture = backend.fixture();
+        let (mut client, sent_at) = send_whole_request(&fixture, &backend, BODY_BYTES, chunked);
+        let answer = client.read_answer().map(|answer| answer.status());
+        let elapsed = sent_at.elapsed();
+        assert!(answer.is_some_and(|status| status >= 500), "{answer:?} chunked: {chunked}");
+        assert!(elapsed < LATEST_ANSWER, "{elapsed:?} chunked: {chunked} {}", fixture.gateway.log());
+        assert!(elapsed > Duration::from_millis(CLIENT_WAIT_MS - 100), "{elapsed:?} chunked: {chunked}");
+    }
+}
+
+/// Guards against the same while the connection to the backend does not come up, so that nothing reads the body.
+#[test]
+fn a_request_is_answered_in_time_though_no_connection_to_its_backend_comes_up() {
+    let backend = FullBacklogListener::start();
+    let changes = &[("\"connect_timeout_us\":250000", "\"connect_timeout_us\":5000000")];
+    let entries = vec![entry("s-0", backend.address, "SERVING")];
+    let fixture =
+        Fixture::new(&GatewayOptions { changes, ..GatewayOptions::default() }, entries, fake_counter());
+    let (mut client, socket) = connect_client(fixture.gateway.address);
+    let (head, body) = upload(SHORTER_BODY_BYTES, false);
+    client.send(&(head + &body));
+    wait_until_acknowledged(&socket);
+    let sent_at = Instant::now();
+    let answer = client.read_answer().map(|answer| answer.status());
+    let (elapsed, log) = (sent_at.elapsed(), fixture.gateway.log());
+    assert!(
+        answer.is_some_and(|status| status >= 500) && elapsed < LATEST_ANSWER,
+        "{answer:?} {elapsed:?} {log}"
+    );
+}
+
+/// Guards against an answer that is never ended because its backend fell silent under it before it had taken the whole
+/// body: the client is told in time that the answer is not whole.
+#[test]
+fn an_early_answer_is_given_up_in_time_though_its_backend_takes_no_more_of_the_body() {
+    for chunked in [false, true] {
+        let backend =
+            SilentBackend::start("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+        let fixture = backend.fixture();
+        let (mut client, sent_at) = send_whole_request(&fixture, &backend, SHORTER_BODY_BYTES, chunked);
+        assert_eq!(client.read_line(), "HTTP/1.1 200 OK");
+        client.read_to_end();
+        let elapsed = sent_at.elapsed();
+        assert!(elapsed < LATEST_ANSWER, "{elapsed:?} chunked: {chunked} {}", fixture.gateway.log());
+    }
+}
+
+/// Guards against closing the connection of a request that has arrived whole, as if its client were slow, to make room
+/// for a new connection.
+#[test]
+fn a_request_that_has_arrived_does_not_make_way_though_its_backend_takes_no_more_of_the_body() {
+    let backend = SilentBackend::start("");
+    let fixture = backend.fixture();
+    let waiting: Vec<Client> = (1..MAX_CLIENTS)
+        .map(|customer| {
+            let mut client = fixture.gateway.client();
+            client.send(&request("consulta", customer, 3000));
+            client
+        })
+        .collect();
+    let (mut client, sent_at) = send_whole_request(&fixture, &backend, BODY_BYTES, false);
+    // A connection can be made to make way 300 ms after its request began to arrive.
+    std::thread::sleep(Duration::from_millis(400));
+    let _newcomer = connect(fixture.gateway.address);
+    let answer = client.read_answer().map(|answer| answer.status());
+    let (elapsed, log) = (sent_at.elapsed(), fixture.gateway.log());
+    assert!(
+        answer.is_some_and(|status| status >= 500) && elapsed < LATEST_ANSWER,
+        "{answer:?} {elapsed:?} {log}"
+    );
+    drop(waiting);
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -578,8 +578,16 @@
     },
     /// A client's request arrived. It gets exactly one final answer.
     Request(Arrival),
-    /// The body of a request that arrived with `body_pending` is complete. Its latency and deadline count
-    /// from here.
+    /// The whole body of a request that arrived with `body_pending` has reached this gateway's machine, though
+    /// not all of it has been forwarded. The client's wait counts from here.
+    BodyArrived {
+        /// The request.
+        id: RequestId,
+        /// When its client gives up this try, on the event clock.
+        deadline: Micros,
+    },
+    /// The body of a request that arrived with `body_pending` is complete and has been forwarded. Its latency
+    /// counts from here.
     Uploaded {
         /// The request.
         id: RequestId,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -189,6 +189,7 @@
                 self.cancel_attempts(id, Some(attempt));
             }
             Event::AttemptEnded(result) => self.on_attempt_ended(result),
+            Event::BodyArrived { id, deadline } => self.set_deadline(id, deadline),
             Event::Uploaded { id, deadline } => self.on_uploaded(id, deadline),
             Event::ClientGone { id } => self.close(id),
             Event::BackendDisabled { backend, disabled } => self.on_backend_disabled(backend, disabled),
@@ -1449,19 +1450,26 @@
         }
     }
 
-    /// Handles the end of an upload. From here on the backend works on the request, and its client waits.
-    fn on_uploaded(&mut self, id: RequestId, deadline: Micros) {
+    /// Sets a request's deadline anew, as its whole body has arrived and its client waits from there.
+    fn set_deadline(&mut self, id: RequestId, deadline: Micros) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         self.deadlines.remove(&(request.deadline, id));
-        (request.deadline, request.body_pending) = (deadline, false);
+        request.deadline = deadline;
+        self.deadlines.insert((deadline, id));
+        self.arm_deadline_timer();
+    }
+
+    /// Handles the end of an upload. From here on the backend works on the request.
+    fn on_uploaded(&mut self, id: RequestId, deadline: Micros) {
+        self.set_deadline(id, deadline);
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.body_pending = false;
         for attempt in request.attempts.iter_mut().filter(|a| a.stalled && a.outcome.is_none()) {
             (attempt.stalled, attempt.sent_at, self.stalled) =
                 (false, self.now, self.stalled.saturating_sub(1));
             let backend = self.backends.get_mut(&attempt.backend);
             backend.into_iter().for_each(|b| b.stalled = b.stalled.saturating_sub(1));
         }
-        self.deadlines.insert((deadline, id));
-        self.arm_deadline_timer();
     }
 
     /// Sets the timer for the earliest deadline. One timer serves all open requests, so that the deadlines of
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -373,12 +373,9 @@
     }
 }
 
-/// Guards against taking a request whose body arrives slowly for queued work, and against a deadline that
-/// starts before the body is complete.
-#[test]
-fn the_time_of_a_body_still_coming_counts_from_its_end() {
-    let mut harness = Harness::new(config(), 3);
-    let arrival = Arrival {
+/// Returns a request whose body is still being received, with a deadline far off.
+fn arrival_with_pending_body(harness: &Harness) -> Arrival {
+    Arrival {
         id: RequestId(1),
         class: ClassIndex(0),
         plan: PlanIndex(0),
@@ -390,7 +387,15 @@
         client_repeat: false,
         write: false,
         body_pending: true,
-    };
+    }
+}
+
+/// Guards against taking a request whose body arrives slowly for queued work, and against a deadline that
+/// starts before the body is complete.
+#[test]
+fn the_time_of_a_body_still_coming_counts_from_its_end() {
+    let mut harness = Harness::new(config(), 3);
+    let arrival = arrival_with_pending_body(&harness);
     assert_eq!(sent(&harness.feed(Event::Request(arrival))).len(), 1);
     let diagnostics = harness.gateway.diagnostics();
     assert_eq!((diagnostics.in_flight, diagnostics.stalled), (1, 1), "no backend works on the request yet");
@@ -403,6 +408,21 @@
     harness.feed(Event::Uploaded { id: RequestId(9), deadline });
 }
 
+/// Guards against a request that is never answered because its backend does not take the rest of its body: the
+/// client waits from when the whole body has arrived, whether or not it has been forwarded.
+#[test]
+fn the_time_of_a_body_that_has_arrived_counts_although_it_is_not_forwarded() {
+    let mut harness = Harness::new(config(), 3);
+    let arrival = arrival_with_pending_body(&harness);
+    assert_eq!(sent(&harness.feed(Event::Request(arrival))).len(), 1);
+    let deadline = harness.now + SEC;
+    harness.feed(Event::BodyArrived { id: RequestId(1), deadline });
+    assert_eq!(harness.gateway.diagnostics().stalled, 1, "no backend works on the request yet");
+    assert!(final_answers(&harness.advance(SEC - MS)).is_empty());
+    assert_eq!(final_answers(&harness.advance(2 * MS)).len(), 1);
+    harness.feed(Event::BodyArrived { id: RequestId(9), deadline });
+}
+
 /// Guards against several failed requests each time a backend that answers with errors is put on trial again.
 #[test]
 fn a_backend_back_from_errors_is_ejected_at_the_next_one() {
