Let only one attempt take a streamed body, at the moment in which it is written

Cause: whether the body could still be sent was asked when an attempt was ordered, not when it was written, a connection later. Upload::new gave the body to whoever asked.

Change: Upload::claim, called right before the head is written, fails where reading has begun or another attempt has the body. The attempt ends as not sent, and its unused connection goes to the pool. Discarding the rest of a body takes it for good.

--- a/node/src/backend/attempt.rs
+++ b/node/src/backend/attempt.rs
@@ -182,7 +182,11 @@
                 self.guard.record(violation, &format!("{} {}", message.method, message.target));
                 return Ok(Outcome::NotSent.into());
             }
-            let request = message.request(announced_time);
+            // Another attempt may have taken the body since this one was begun.
+            let Some(request) = message.request(announced_time) else {
+                self.put_back(id, connection);
+                return Ok(Outcome::NotSent.into());
+            };
             let (head_bytes, written_before) = (head_length(&request), connection.link.written());
             let request_length = || message.body.framed_length().map(|body_bytes| head_bytes + body_bytes);
             match (&message.body, request_length()) {
--- a/node/src/backend/message.rs
+++ b/node/src/backend/message.rs
@@ -96,11 +96,11 @@
     }
 
     /// Builds the request of an attempt, with `announced_time` in its `x-time-left-ms` field, rounded up to a
-    /// millisecond.
-    pub(super) fn request(&self, announced_time: Duration) -> Request<RequestBody> {
+    /// millisecond. Returns `None` if the body can't be sent from its beginning: another attempt has taken it.
+    pub(super) fn request(&self, announced_time: Duration) -> Option<Request<RequestBody>> {
         let (body, length) = match &self.body {
             Payload::Whole { body, .. } => (Either::Left(Full::new(body.clone())), Some(body.len() as u64)),
-            Payload::Streamed(source) => (Either::Right(Upload::new(source.clone())), source.length),
+            Payload::Streamed(source) => (Either::Right(Upload::claim(source)?), source.length),
         };
         let mut request = Request::new(body);
         *request.method_mut() = self.method.clone();
@@ -116,6 +116,6 @@
             Some(_) => {}
             None => drop(headers.insert(TRANSFER_ENCODING, HeaderValue::from_static("chunked"))),
         }
-        request
+        Some(request)
     }
 }
--- a/node/src/body/upload.rs
+++ b/node/src/body/upload.rs
@@ -162,9 +162,10 @@
         }
     }
 
-    /// Reads and discards the rest of a body that is no longer needed. Closing the connection with unread data would
-    /// reset it, and the client might lose its response.
+    /// Reads and discards the rest of a body that is no longer needed, so that no attempt can take it any more.
+    /// Closing the connection with unread data would reset it, and the client might lose its response.
     pub async fn drain(&self) {
+        self.started.set(true);
         while self.state.get() == State::Open {
             if self.in_use.get() {
                 self.changed.notified().await;
@@ -250,10 +251,13 @@
 pub struct Upload(Rc<UploadSource>);
 
 impl Upload {
-    /// Creates the body of an attempt; the source counts as in use until it is dropped.
-    pub fn new(source: Rc<UploadSource>) -> Self {
-        source.in_use.set(true);
-        Upload(source)
+    /// Takes the body for an attempt. The source counts as in use until the returned value is dropped. Returns `None`
+    /// if reading has started or another attempt has taken the body: what is left of it is not what the client sent.
+    pub fn claim(source: &Rc<UploadSource>) -> Option<Self> {
+        if source.started() || source.in_use.replace(true) {
+            return None;
+        }
+        Some(Upload(source.clone()))
     }
 }
 
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -234,6 +234,11 @@
         FullBacklogListener { address, listener, queued }
     }
 
+    /// The number of connections that fill the accept queue. They are the first ones to be accepted.
+    pub fn queued_connections(&self) -> usize {
+        self.queued.len()
+    }
+
     /// Accepts and serves connections from now on, also those that have been waiting.
     pub fn start_accepting(
         self,
