Send a request elsewhere whose backend leaves the list before its attempt begins

What callers saw: 503 although another backend is in service, when the list dropped the chosen backend in the moment between the decision and the attempt.

Cause: open_connection tells "not sent" for a backend it does not know, and after that outcome the module gives a request up. The check after the connection tells "full", after which it goes to another backend.

Change: an attempt that gets no connection to a backend that is out of service ends as full, as it does a moment later.

--- a/node/src/backend/attempt.rs
+++ b/node/src/backend/attempt.rs
@@ -145,6 +145,8 @@
                 Some((connection, _)) => connection,
                 None => match self.open_connection_by(id, limits.begin_by).await {
                     Ok(connection) => connection,
+                    // Another backend may take the request if this one has gone out of service meanwhile.
+                    Err(_) if self.generation(id).is_none() => return Ok(Outcome::Full.into()),
                     Err(outcome) => return Ok(outcome.into()),
                 },
             };
--- a/node/tests/pool.rs
+++ b/node/tests/pool.rs
@@ -90,6 +90,20 @@
     pool.attempt(ID, message, &limits(Instant::now() + TEST_TIMEOUT)).await
 }
 
+/// Guards against refusing a request because its backend leaves the list after it has been chosen and before the attempt
+/// begins: the outcome has to tell that another backend may take the request.
+#[test]
+fn an_attempt_at_a_backend_that_has_left_the_list_may_go_elsewhere() {
+    run(async {
+        let backend = FakeServer::start(|_| ok("x"));
+        let pool = pool(backend.address, 8);
+        let (_client, message) = client().await;
+        pool.remove_backend(ID);
+        assert!(attempt(&pool, &message).await.is_ok_and(|completed| completed.outcome == Outcome::Full));
+        assert_eq!(backend.requests.try_iter().count(), 0);
+    });
+}
+
 /// Guards against an attempt for a client that has just closed its connection, before the runtime has reported the
 /// close. Nothing is sent over an idle connection, and no new connection is opened.
 #[test]
