Let no first attempt begin after the window of the hedged one that was sent before it

What backends saw: a keyed request at a second backend 1.82 s after the hedged attempt was sent, where the window is 0.7 s: the first attempt's connection had come up that late.

Cause: an attempt has to begin by the end of the window of an earlier one that may have run. The first attempt has none before it and got no limit, but a hedged attempt can be sent while its connection comes up.

Change: where requests may be hedged, a keyed request's first attempt has to begin within a window of its order, which ends before that of any attempt ordered later.

A connection that takes longer than the window now ends its attempt also where no hedged one was sent.

--- a/src/repeats.rs
+++ b/src/repeats.rs
@@ -38,13 +38,15 @@
         }
     }
 
-    /// Returns the time before which a further attempt of a keyed request that may have run has to begin. An
-    /// attempt that is decided on in time may still wait for its connection, and begin too late.
+    /// Returns the time before which the next attempt of a keyed request has to begin, if an earlier one may
+    /// have run. An attempt that is decided on in time may still wait for its connection, and begin too late. The
+    /// first attempt may wait so long that a hedged one, decided on later, begins before it.
     pub(crate) fn repeat_window_end(&self, id: RequestId) -> Option<Micros> {
         let request = &self.requests[&id];
         let Effect::Keyed { window, .. } = self.cfg.classes[request.class].effect else { return None };
-        let first_run = request.attempts.iter().find(|a| Self::may_have_run(a))?;
-        Some(first_run.sent_at.saturating_add(window))
+        let first_run = request.attempts.iter().find(|a| Self::may_have_run(a)).map(|a| a.sent_at);
+        let may_be_hedged = self.cfg.hedging && request.attempts.is_empty();
+        Some(first_run.or(may_be_hedged.then_some(self.now))?.saturating_add(window))
     }
 
     /// Returns whether a request may be answered as refused, which promises that trying again is harmless: it
