Send no request that has its final answer, also where attempts are not cancelled

What backends saw: a request that a hedged attempt had answered already, once the first attempt's connection had come up, where the settings do not allow attempts to be cancelled.

Cause: whether a request still waits for its answer was asked when an attempt is ordered, not when it is written; where attempts may be cancelled, cancelling hides that.

Change: the message knows whether its request has been answered, and an attempt looks at that right before it is written.

Evidence: connections.rs, a_late_connection_does_not_carry_a_request_that_has_been_answered: 1 request at the late backend before, none now.

--- a/node/src/backend/attempt.rs
+++ b/node/src/backend/attempt.rs
@@ -184,8 +184,9 @@
                 self.guard.record(violation, &format!("{} {}", message.method, message.target));
                 return Ok(Outcome::NotSent.into());
             }
-            // Another attempt may have taken the body since this one was begun.
-            let Some(request) = message.request(announced_time) else {
+            // Another attempt may have taken the body, or brought the answer, since this one was begun.
+            let request = if message.answered.get() { None } else { message.request(announced_time) };
+            let Some(request) = request else {
                 self.put_back(id, connection);
                 return Ok(Outcome::NotSent.into());
             };
--- a/node/src/backend/message.rs
+++ b/node/src/backend/message.rs
@@ -7,6 +7,7 @@
 use http_body_util::{Either, Full};
 use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Method, Request};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -48,6 +49,8 @@
     pub client_wait: Duration,
     /// The client's connection.
     pub client: Rc<Meter>,
+    /// Whether the request has its final result, so that it must not be sent any more.
+    pub answered: Cell<bool>,
 }
 
 /// The body of a client's request.
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -89,6 +89,14 @@
     in_flight: Vec<InFlightAttempt>,
 }
 
+impl OpenRequest {
+    /// Returns the sender of the final result, unless that has been sent. No attempt is sent from here on.
+    fn take_reply(&mut self) -> Option<oneshot::Sender<Reply>> {
+        self.message.answered.set(true);
+        self.reply.take()
+    }
+}
+
 /// The mutable state of the driver.
 struct DriverState {
     gateway: Gateway,
--- a/node/src/driver/actions.rs
+++ b/node/src/driver/actions.rs
@@ -170,8 +170,10 @@
             now.saturating_sub(ended.started_at)
         );
         let CompletedAttempt { outcome, load, billed_units, answer } = completed;
-        if let (Some(answer), Some(reply)) = (answer, request.reply.take_if(|_| outcome == Outcome::Ok)) {
-            drop(reply.send(Reply::Served(Box::new(answer))));
+        if let Some(answer) = answer.filter(|_| outcome == Outcome::Ok) {
+            if let Some(reply) = request.take_reply() {
+                drop(reply.send(Reply::Served(Box::new(answer))));
+            }
         }
         let (request_done, none_in_flight) = (request.reply.is_none(), request.in_flight.is_empty());
         // A backend starts to work when it has received the whole request.
@@ -212,7 +214,7 @@
     /// flight.
     fn send_reply(&self, state: &mut DriverState, id: RequestId, reply: Reply) {
         let Some(request) = state.requests.get_mut(&id) else { return };
-        if let Some(sender) = request.reply.take() {
+        if let Some(sender) = request.take_reply() {
             drop(sender.send(reply));
         }
         if request.in_flight.is_empty() {
@@ -231,7 +233,7 @@
     /// Abandons a request that no client waits for: informs the decision module and cancels the attempts in flight.
     pub(super) fn abandon_request(&self, state: &mut DriverState, now: Micros, id: RequestId) {
         let Some(request) = state.requests.get_mut(&id) else { return };
-        if let Some(sender) = request.reply.take() {
+        if let Some(sender) = request.take_reply() {
             drop(sender.send(Reply::ClientClosed));
             state.events.push_back(Event::ClientGone { id });
         }
--- a/node/src/driver/timers.rs
+++ b/node/src/driver/timers.rs
@@ -60,7 +60,7 @@
                 TimerKind::Module(token) => state.events.push_back(Event::Timer { token }),
                 TimerKind::Watchdog(id) => {
                     // A backend may have processed an attempt, so the request has failed rather than been refused.
-                    if let Some(sender) = state.requests.get_mut(&id).and_then(|r| r.reply.take()) {
+                    if let Some(sender) = state.requests.get_mut(&id).and_then(|r| r.take_reply()) {
                         drop(sender.send(Reply::Failed));
                         state.events.push_back(Event::ClientGone { id });
                     }
--- a/node/src/server/handler.rs
+++ b/node/src/server/handler.rs
@@ -22,6 +22,7 @@
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_LENGTH, RETRY_AFTER};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri};
+use std::cell::Cell;
 use std::pin::pin;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
@@ -73,6 +74,7 @@
         body,
         client_wait: Duration::from_micros(time_limit),
         client: client.meter.clone(),
+        answered: Cell::new(false),
     }
 }
 
--- a/node/tests/connections.rs
+++ b/node/tests/connections.rs
@@ -5,6 +5,7 @@
 
 use common::*;
 use std::collections::HashMap;
+use std::sync::atomic::Ordering;
 use std::sync::mpsc::{channel, Sender};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
@@ -127,3 +128,37 @@
         );
     }
 }
+
+/// Guards against sending a request that has its final answer, where attempts are not cancelled: the first attempt's
+/// connection comes up after the hedged one has been answered.
+#[test]
+fn a_late_connection_does_not_carry_a_request_that_has_been_answered() {
+    let late = FullBacklogListener::start();
+    let late_entry = entry("late", late.address, "SERVING");
+    let other = FakeServer::start(|_| ok("other"));
+    let options = GatewayOptions {
+        changes: &[
+            ("\"connect_timeout_us\":250000", "\"connect_timeout_us\":5000000"),
+            ("\"second_copies\":false", "\"second_copies\":true"),
+            ("\"cancel\":true", "\"cancel\":false"),
+        ],
+        debug_log: true,
+        ..GatewayOptions::default()
+    };
+    let fixture = Fixture::new(&options, vec![late_entry.clone()], fake_counter());
+    let mut client = fixture.gateway.client();
+    client.send(&request("consulta", 7, 3000));
+    while !fixture.gateway.log().contains(" attempt 0 to ") {}
+    fixture.discovery.set(vec![late_entry, entry("other", other.address, "SERVING")]);
+    assert_eq!(client.read_answer().expect("an answer").body, b"other");
+    let queued_connections = late.queued_connections();
+    let (late, began) = (late.start_accepting(|_| ok("late")), Instant::now());
+    // The connection is established when the kernel repeats its SYN, by 3 s after the first one.
+    while late.connection_count.load(Ordering::SeqCst) <= queued_connections
+        && began.elapsed() < Duration::from_millis(3_500)
+    {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    std::thread::sleep(Duration::from_millis(200));
+    assert_eq!(late.requests.try_iter().count(), 0);
+}
--- a/node/tests/pool.rs
+++ b/node/tests/pool.rs
@@ -11,6 +11,7 @@
 use badgerglade::meter::Meter;
 use caperwind::{BackendId, LoadField, Outcome};
 use common::*;
+use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -76,6 +77,7 @@
         body,
         client_wait: TEST_TIMEOUT,
         client: Meter::new(gateway_end),
+        answered: Cell::new(false),
     };
     (client_end, message)
 }
