Refuse an upload of which its backend takes nothing for 4 s

What callers saw: a client with more to send than fits this machine had no answer while its backend was silent, for up to 900 s.

Change: UploadWatch, which looks whether a body has arrived, also looks whether it moves: bytes that arrived from the client, bytes that the backend's machine acknowledged. Where neither moves for 4 s, the limit of a stalled answer, and for the request's own time, the attempts end as ones that can't have run, since the last byte was not sent.

Evidence: stalled_uploads.rs, an_upload_that_its_backend_takes_no_more_of_is_refused, with a length and in chunks: no answer in 20 s before, 503 within 4.55 s now, and the client can finish its body and use its connection. long_uploads.rs a_backend_that_reads_slowly (3.5 s of rest) passes unchanged. cargo test -p badgerglade passes.

--- a/node/src/body/upload.rs
+++ b/node/src/body/upload.rs
@@ -125,6 +125,13 @@
         self.received.get()
     }
 
+    /// Returns the number of bytes that the backend's machine has acknowledged on the connection over which the body is
+    /// sent; 0 before it is sent.
+    pub fn acknowledged(&self) -> u64 {
+        let write_target = self.write_target.borrow();
+        write_target.as_ref().map_or(0, |target| target.meter.acknowledged())
+    }
+
     /// Returns the number of bytes that the whole body takes on the wire to a backend; `None` until it is complete.
     pub fn framed_length(&self) -> Option<u64> {
         (self.state.get() == State::Whole).then(|| self.framed_bytes.get())
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -20,7 +20,7 @@
 use backend_list::{BackendList, UpdatedBackend, MAX_BACKENDS};
 use caperwind::{
     Action, Arrival, BackendId, BackendRow, BackendState, Config, CounterKey, CounterResult, Effect, Event,
-    Gateway, HandoverState, ListKind, Micros, RefusalReason, RequestId, UnsyncedUnits,
+    Gateway, HandoverState, ListKind, Micros, Outcome, RefusalReason, RequestId, UnsyncedUnits,
 };
 use hyper::{Response, StatusCode};
 use report::ReportCounts;
@@ -325,6 +325,15 @@
         }
     }
 
+    /// Records that a request body has stalled: no backend takes what has arrived of it. No backend can have begun to
+    /// work on the request, as its last byte has not been sent.
+    pub fn upload_stalled(&self, pending: &PendingReply) {
+        let mut state = self.0.state.borrow_mut();
+        let now = self.0.clock.now();
+        self.end_all_attempts(&mut state, now, pending.id, Outcome::ConnectFailed);
+        self.run(&mut state, now);
+    }
+
     /// Records that a request body has been read to its end. The client waits `time_left` microseconds from now.
     pub fn body_received(&self, pending: &PendingReply, time_left: Micros) {
         let mut state = self.0.state.borrow_mut();
--- a/node/src/meter.rs
+++ b/node/src/meter.rs
@@ -4,7 +4,7 @@
 
 use crate::body::budget::{Budget, Reservation};
 use crate::body::scanner::{BodyFraming, BodyScanner};
-use crate::tcp_info::{since_last_data, unread_bytes};
+use crate::tcp_info::{since_last_data, unacknowledged_bytes, unread_bytes};
 use bytes::{Buf, BufMut, BytesMut};
 use nix::errno::Errno;
 use nix::sys::socket::{recv, MsgFlags};
@@ -121,6 +121,12 @@
         self.written.get()
     }
 
+    /// Returns the number of bytes written that the peer's machine has acknowledged; all of them if this is not known.
+    pub fn acknowledged(&self) -> u64 {
+        let unacknowledged = self.stream().ok().and_then(|stream| unacknowledged_bytes(&stream));
+        self.written.get().saturating_sub(unacknowledged.unwrap_or_default() as u64)
+    }
+
     /// Returns whether the socket's user is waiting to write.
     pub fn write_blocked(&self) -> bool {
         self.write_blocked.get()
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -3,6 +3,7 @@
 mod connection;
 mod handler;
 mod transfer;
+mod upload_watch;
 
 use crate::body::budget::Budget;
 use crate::driver::Driver;
--- a/node/src/server/handler.rs
+++ b/node/src/server/handler.rs
@@ -2,11 +2,11 @@
 
 use super::connection::{ClientConnection, Phase};
 use super::transfer::{RequestLabel, StreamedAnswer, UploadMonitor};
+use super::upload_watch::{UploadState, UploadWatch};
 use super::Server;
 use crate::admission::{admit, Rejection, RequestMetadata};
 use crate::backend::message::strip_hop_by_hop;
 use crate::backend::{Message, Payload};
-use crate::body::budget::Budget;
 use crate::body::gather::{gather, Gathered};
 use crate::body::interruption::UploadInterruption;
 use crate::body::scanner::BodyFraming;
@@ -26,10 +26,6 @@
 use std::pin::pin;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
-use tokio::time::sleep;
-
-/// The interval between checks whether a request whose body is still being read has arrived whole.
-const ARRIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(40);
 
 /// An answer to a client.
 pub(super) type Answer = Response<Either<Full<Bytes>, StreamedAnswer>>;
@@ -221,6 +217,7 @@
                 return closing_answer(status, text);
             }
         };
+        let mut watch = UploadWatch::new(client, source.clone(), self.body_budget.clone(), time_limit);
         // Counted as in progress from when the whole request has arrived, or from an earlier answer on.
         let mut in_progress = None;
         let early_reply = loop {
@@ -233,9 +230,12 @@
                     }
                     break None;
                 }
-                () = wait_for_arrival(Rc::downgrade(client), self.body_budget.clone()), if in_progress.is_none() => {
-                    in_progress = Some(self.metrics.start_request());
-                    self.driver.body_arrived(&pending, remaining_time(time_limit, client));
+                state = watch.next(), if in_progress.is_none() => match state {
+                    UploadState::Arrived => {
+                        in_progress = Some(self.metrics.start_request());
+                        self.driver.body_arrived(&pending, remaining_time(time_limit, client));
+                    }
+                    UploadState::Stalled => self.driver.upload_stalled(&pending),
                 }
             }
         };
@@ -261,8 +261,9 @@
         client: &Rc<ClientConnection>,
     ) {
         client.draining_upload.set(true);
+        let mut watch = UploadWatch::new(client, source.clone(), self.body_budget.clone(), time_limit);
         // A weak reference, as a strong one would keep the socket open after the connection has ended.
-        let (driver, client, budget) = (self.driver.clone(), Rc::downgrade(client), self.body_budget.clone());
+        let (driver, client) = (self.driver.clone(), Rc::downgrade(client));
         let time_left = move |client: &Weak<ClientConnection>| {
             client.upgrade().map_or(0, |c| remaining_time(time_limit, &c))
         };
@@ -270,8 +271,9 @@
             let mut drained = pin!(source.drain());
             tokio::select! {
                 () = &mut drained => {}
-                () = wait_for_arrival(client.clone(), budget) => {
-                    driver.body_arrived(&pending, time_left(&client));
+                state = watch.next() => {
+                    let no_time_left = state == UploadState::Stalled;
+                    driver.body_arrived(&pending, if no_time_left { 0 } else { time_left(&client) });
                     drained.await;
                 }
             }
@@ -329,21 +331,6 @@
     time_limit.saturating_sub(client.meter.since_last_data().as_micros() as Micros)
 }
 
-/// Waits until the whole request on a connection has arrived at this machine. Its body is read only as fast as its
-/// backend takes it, so this may be long before its last byte is read. Never returns if the connection ends first.
-async fn wait_for_arrival(client: Weak<ClientConnection>, budget: Budget) {
-    let mut received_before = None;
-    loop {
-        sleep(ARRIVAL_CHECK_INTERVAL).await;
-        let Some(client) = client.upgrade() else { return std::future::pending().await };
-        // While bytes still arrive, the end is not looked for.
-        let received = Some(client.meter.received());
-        if std::mem::replace(&mut received_before, received) == received && client.request_arrived(&budget) {
-            return;
-        }
-    }
-}
-
 /// Returns the answer to a refused request, with a `Retry-After` header unless `retry_after` (in microseconds) is 0.
 fn refusal_answer(retry_after: Micros, attempted: bool) -> Answer {
     let status = if attempted { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::TOO_MANY_REQUESTS };
--- a/node/src/tcp_info.rs
+++ b/node/src/tcp_info.rs
@@ -1,4 +1,4 @@
-//! What the kernel knows of a TCP connection (`TCP_INFO` and `FIONREAD`, Linux).
+//! What the kernel knows of a TCP connection (`TCP_INFO`, `FIONREAD` and `TIOCOUTQ`, Linux).
 
 use std::mem::{offset_of, size_of, MaybeUninit};
 use std::os::fd::AsRawFd;
@@ -32,10 +32,21 @@
 
 /// Returns the number of bytes that the connection has received and nobody has read; `None` if the kernel does not
 /// report it.
-#[allow(unsafe_code)]
 pub fn unread_bytes(stream: &TcpStream) -> Option<usize> {
+    queued_bytes(stream, libc::FIONREAD)
+}
+
+/// Returns the number of bytes written to the connection that its peer has not acknowledged; `None` if the kernel does
+/// not report it.
+pub fn unacknowledged_bytes(stream: &TcpStream) -> Option<usize> {
+    queued_bytes(stream, libc::TIOCOUTQ)
+}
+
+/// Returns the length of one of the connection's queues, which `request` names.
+#[allow(unsafe_code)]
+fn queued_bytes(stream: &TcpStream, request: libc::Ioctl) -> Option<usize> {
     let mut bytes: libc::c_int = 0;
-    // SAFETY: the descriptor is open while the stream is borrowed, and the call writes one integer.
-    let status = unsafe { libc::ioctl(stream.as_raw_fd(), libc::FIONREAD, &mut bytes) };
+    // SAFETY: the descriptor is open while the stream is borrowed, and the requests of this module write one integer.
+    let status = unsafe { libc::ioctl(stream.as_raw_fd(), request, &mut bytes) };
     usize::try_from(bytes).ok().filter(|_| status == 0)
 }
--- a/node/tests/stalled_uploads.rs
+++ b/node/tests/stalled_uploads.rs
@@ -181,6 +181,34 @@
     );
 }
 
+/// The length of a body that the gateway's machine does not take whole while its backend takes nothing, in bytes.
+const HUGE_BODY_BYTES: usize = 32 << 20;
+/// The limit for an answer to a request whose body has stalled: the 4 s after which it has, and as much again as an
+/// answer may be late.
+const LATEST_STALL_ANSWER: Duration = Duration::from_millis(4_000 + 500 + 50);
+
+/// Guards against an upload that waits for a silent backend without limit, as long as its client has more to send.
+#[test]
+fn an_upload_that_its_backend_takes_no_more_of_is_refused() {
+    for chunked in [false, true] {
+        let backend = SilentBackend::start("");
+        let fixture = backend.fixture();
+        let (mut client, mut socket) = connect_client(fixture.gateway.address);
+        let (head, body) = upload(HUGE_BODY_BYTES, chunked);
+        client.send(&head);
+        let sender = std::thread::spawn(move || socket.write_all(body.as_bytes()));
+        backend.heads.recv_timeout(TEST_TIMEOUT).expect("the backend gets the head");
+        let sent_at = Instant::now();
+        let answer = client.read_answer().map(|answer| answer.status());
+        let (elapsed, log) = (sent_at.elapsed(), fixture.gateway.log());
+        assert_eq!(answer, Some(503), "no backend can have run it, chunked: {chunked} {log}");
+        assert!(elapsed < LATEST_STALL_ANSWER, "{elapsed:?} chunked: {chunked} {log}");
+        // The client is let finish, and the connection goes on.
+        assert!(sender.join().expect("the sender ends").is_ok(), "chunked: {chunked}");
+        assert_eq!(client.ask(&request("consulta", 7, 300)).status() / 100, 5);
+    }
+}
+
 /// Guards against an answer that is never ended because its backend fell silent under it before it had taken the whole
 /// body: the client is told in time that the answer is not whole.
 #[test]
