--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,12 +33,14 @@
 mod quota;
 mod random;
 mod repeats;
+mod settings;
 mod slow_start;
 mod state;
 mod succession;
 mod vitals;
 
 pub use api::*;
+pub use settings::*;
 pub use state::Gateway;
 pub use succession::HandoverState;
 pub use vitals::{Diagnostics, RefusalCounts};
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -3,6 +3,7 @@
 //! `src/repeats.rs` on repeats. Times are `f64` microseconds unless they are [`Micros`].
 
 use crate::api::*;
+use crate::settings::*;
 use crate::state::*;
 
 /// One second, in microseconds.
--- a/src/repeats.rs
+++ b/src/repeats.rs
@@ -1,6 +1,7 @@
 //! The rules for repeats: which requests may be sent again, until when, and which may be refused.
 
 use crate::api::*;
+use crate::settings::*;
 use crate::state::*;
 
 impl Gateway {
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,6 +3,7 @@
 
 use crate::api::*;
 pub(crate) use crate::random::{hash, to_fraction, Random};
+use crate::settings::*;
 pub(crate) use crate::succession::HandoverState;
 pub(crate) use crate::vitals::RefusalCounts;
 use serde::{Deserialize, Serialize};
--- a/src/succession.rs
+++ b/src/succession.rs
@@ -2,6 +2,7 @@
 //! sent to the counter go to the successor or are sent before it ends.
 
 use crate::api::*;
+use crate::settings::*;
 use crate::state::{Backend, Customer, Gateway};
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
