Keep what is known of a body's arrival to the request that it belongs to

A chunked body that begins with an empty line was taken for a complete one.

Change: the mark is set and looked at in the phase in which a body is received alone, and cleared as that begins; request_taken() tells in one place which connections must not be closed, also at the end of the process. A chunk's size needs a digit.

--- a/node/src/body/scanner.rs
+++ b/node/src/body/scanner.rs
@@ -12,8 +12,8 @@
 /// The position within a chunked body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ChunkPosition {
-    /// In the hexadecimal digits of a chunk's size.
-    Size { value: u64 },
+    /// In the hexadecimal digits of a chunk's size; no `value` before the first one.
+    Size { value: Option<u64> },
     /// Behind the digits, in the rest of the line.
     SizeLineRest { value: u64 },
     /// In the data of a chunk, or in the line end behind it.
@@ -36,14 +36,14 @@
         *self = match *self {
             Self::Data { left } => {
                 let taken = left.min(bytes.len() as u64);
-                *self =
-                    if left == taken { Self::Size { value: 0 } } else { Self::Data { left: left - taken } };
+                let next = Self::Size { value: None };
+                *self = if left == taken { next } else { Self::Data { left: left - taken } };
                 return taken as usize;
             }
-            Self::Size { value } => match (char::from(byte).to_digit(16), value.checked_mul(16)) {
-                (Some(digit), Some(shifted)) => Self::Size { value: shifted | u64::from(digit) },
-                (Some(_), None) => Self::Malformed,
-                (None, _) => Self::SizeLineRest { value }.after_size(byte),
+            Self::Size { value } => match (char::from(byte).to_digit(16), value) {
+                (Some(digit), _) => Self::add_digit(value.unwrap_or_default(), digit),
+                (None, Some(value)) => Self::SizeLineRest { value }.after_size(byte),
+                (None, None) => Self::Malformed,
             },
             Self::SizeLineRest { .. } => self.after_size(byte),
             Self::Trailer { line_is_empty: true } if byte == b'\n' => Self::End,
@@ -55,6 +55,12 @@
         1
     }
 
+    /// The position after another `digit` of a chunk's size, which was `value` before it.
+    fn add_digit(value: u64, digit: u32) -> Self {
+        let shifted = value.checked_mul(16);
+        shifted.map_or(Self::Malformed, |shifted| Self::Size { value: Some(shifted | u64::from(digit)) })
+    }
+
     /// The position after `byte`, which follows the digits of a chunk's size.
     fn after_size(self, byte: u8) -> Self {
         match self {
@@ -85,7 +91,7 @@
     pub fn new(framing: BodyFraming) -> Self {
         match framing {
             BodyFraming::Length(bytes) => BodyScanner::Length(bytes),
-            BodyFraming::Chunked => BodyScanner::Chunked(ChunkedScanner(ChunkPosition::Size { value: 0 })),
+            BodyFraming::Chunked => BodyScanner::Chunked(ChunkedScanner(ChunkPosition::Size { value: None })),
         }
     }
 
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -238,7 +238,7 @@
         let evictable = candidates.into_iter().find(|(rank, _, c)| match rank {
             EvictionRank::SlowHead => true,
             // Its backend rather than its client may be slow.
-            EvictionRank::SlowBody => !c.request_arrived(&self.body_budget),
+            EvictionRank::SlowBody => !c.body_arrived(&self.body_budget),
             EvictionRank::Silent | EvictionRank::Idle => c.nothing_received(),
         });
         let fresh_count = connections.values().filter(|c| c.is_fresh(now)).count();
@@ -379,7 +379,7 @@
 
     /// Reports to the guard the requests that the end of the process leaves without an answer.
     pub fn check_unanswered_requests(&self) {
-        for client in self.connections.borrow().values().filter(|c| c.phase() == Phase::Processing) {
+        for client in self.connections.borrow().values().filter(|c| c.request_taken()) {
             let (_, correlation_id) = client.requests();
             self.driver.guard().record(
                 Violation::CloseOverRequest,
--- a/node/src/server/connection.rs
+++ b/node/src/server/connection.rs
@@ -115,8 +115,8 @@
     pub backpressure: Rc<Backpressure>,
     /// Whether the request body is still being received although the request has been answered.
     pub draining_upload: Cell<bool>,
-    /// Whether the whole request has been found to have arrived while its body was still being read.
-    request_arrived: Cell<bool>,
+    /// Whether the whole body has been found to have arrived, in the phase in which it is received.
+    body_arrived: Cell<bool>,
     /// Notified when the connection is to close after its current answer.
     pub close_requested: Notify,
     /// Whether the connection has been evicted.
@@ -146,7 +146,7 @@
             write_progress: Cell::new((0, Instant::now())),
             backpressure: Rc::default(),
             draining_upload: Cell::new(false),
-            request_arrived: Cell::new(false),
+            body_arrived: Cell::new(false),
             answer_progress: Cell::new(None),
             close_requested: Notify::new(),
             evicted: Cell::new(false),
@@ -185,7 +185,6 @@
     /// Enters a phase: restarts its clock and its count of bytes read.
     pub fn enter_phase(&self, phase: Phase) {
         self.phase.set(phase);
-        self.request_arrived.set(false);
         self.phase_began.set(Instant::now());
         self.read_before_phase.set(self.meter.read());
         // The time for which a body was paused still counts while its request is processed or is answered early.
@@ -197,17 +196,26 @@
     /// Enters the phase in which a body is received. The time and the bytes read count from the start of the head.
     pub fn enter_body_phase(&self) {
         self.phase.set(Phase::ReceivingBody);
+        self.body_arrived.set(false);
     }
 
-    /// Whether the whole request has arrived at this machine, so that it must get its answer although a part of its
-    /// body may still be unread. Once this has been found, it holds until the next phase. `budget` provides the memory
-    /// for looking into the socket.
-    pub fn request_arrived(&self, budget: &Budget) -> bool {
-        let arrived = self.phase() == Phase::Processing
-            || self.request_arrived.get()
-            || self.meter.body_arrived(budget);
-        self.request_arrived.set(arrived);
-        arrived
+    /// Whether the current request's body has arrived whole at this machine, so that the request must get its answer
+    /// although a part of it may still be unread. `budget` provides the memory for looking into the socket.
+    pub fn body_arrived(&self, budget: &Budget) -> bool {
+        let arrived = self.meter.body_arrived(budget);
+        if arrived && self.phase() == Phase::ReceivingBody {
+            self.body_arrived.set(true);
+        }
+        arrived || self.request_taken()
+    }
+
+    /// Whether a request that has not been answered is known to have arrived whole. Its connection must not be closed.
+    pub fn request_taken(&self) -> bool {
+        match self.phase() {
+            Phase::Processing => true,
+            Phase::ReceivingBody => self.body_arrived.get(),
+            _ => false,
+        }
     }
 
     /// The number of bytes read since the phase began.
@@ -221,8 +229,7 @@
     pub fn request_overdue(&self) -> bool {
         let by_bytes = Duration::from_secs_f64(self.read_in_phase() as f64 / MIN_UPLOAD_RATE);
         let late = self.phase_age() >= REQUEST_TIMEOUT + by_bytes + self.backpressure.paused();
-        let complete = self.request_arrived.get();
-        late && !complete && !self.meter.write_blocked() && self.meter.is_open_and_empty()
+        late && !self.request_taken() && !self.meter.write_blocked() && self.meter.is_open_and_empty()
     }
 
     /// Restarts the clock that measures whether the client reads an answer.
@@ -335,9 +342,7 @@
     /// is gone.
     pub fn abort(&self, reason: AbortReason) {
         let client_gone = matches!(reason, AbortReason::ClientClosed | AbortReason::ClientStopped);
-        let request_taken = self.phase() == Phase::Processing
-            || (self.phase() == Phase::ReceivingBody && self.request_arrived.get());
-        if request_taken && !client_gone {
+        if self.request_taken() && !client_gone {
             let step = format!("request {:?}, {reason:?}", self.last_correlation_id.borrow());
             return self.guard.record(Violation::CloseOverRequest, &step);
         }
--- a/node/src/server/upload_watch.rs
+++ b/node/src/server/upload_watch.rs
@@ -79,7 +79,7 @@
         if progress != last {
             self.last_progress = None;
         }
-        if resting && client.request_arrived(&self.budget) {
+        if resting && client.body_arrived(&self.budget) {
             return Some(UploadState::Arrived);
         }
         let waits_for_backend = progress.received > client.meter.read();
--- a/node/tests/request_tracker.rs
+++ b/node/tests/request_tracker.rs
@@ -32,7 +32,13 @@
 /// Guards against taking bytes that are no chunked body for a complete one, and against overflows.
 #[test]
 fn a_malformed_chunked_body_is_never_complete() {
-    for body in ["ffffffffffffffffffffff\r\nx\r\n0\r\n\r\n", "ffffffffffffffff\r\nx\r\n0\r\n\r\n"] {
+    let bodies = [
+        "ffffffffffffffffffffff\r\nx\r\n0\r\n\r\n",
+        "ffffffffffffffff\r\nx\r\n0\r\n\r\n",
+        "\r\n\r\n0\r\n\r\n",
+        "x\r\n0\r\n\r\n",
+    ];
+    for body in bodies {
         let mut scanner = BodyScanner::new(BodyFraming::Chunked);
         assert!(scanner.scan(body.as_bytes()).is_empty() && !scanner.is_complete(), "{body:?}");
     }
