Cut off a client that stops in a request behind a body that was answered early

What callers saw: such a client got neither an error nor a close within 20 s, where 3 s are owed.

Cause: the pause in which nobody asks for more of a body never ended after its last bytes, so it excused all that came later on the connection; and the bytes of the earlier body counted as bytes of the next request, which gave it seconds more.

Change: the end of a body ends the pause. The next request's time and bytes count from the end of the body before it.

--- a/node/src/body/upload.rs
+++ b/node/src/body/upload.rs
@@ -197,6 +197,7 @@
         let last_chunk = if self.length.is_none() { LAST_CHUNK_BYTES } else { 0 };
         self.framed_bytes.set(self.framed_bytes.get() + last_chunk);
         self.state.set(state);
+        self.backpressure.resume();
         self.changed.notify_one();
         self.apply_write_target();
     }
--- a/node/src/meter.rs
+++ b/node/src/meter.rs
@@ -153,6 +153,11 @@
         self.requests.borrow().as_ref()?.head_has_field(field)
     }
 
+    /// Returns whether bytes of a further request have been read.
+    pub fn next_head_begun(&self) -> bool {
+        self.requests.borrow().as_ref().is_some_and(RequestTracker::next_head_begun)
+    }
+
     /// Records how the body of the request whose head has been read last ends.
     pub fn begin_body(&self, framing: BodyFraming) {
         if let Some(requests) = self.requests.borrow_mut().as_mut() {
--- a/node/src/meter/request_tracker.rs
+++ b/node/src/meter/request_tracker.rs
@@ -38,6 +38,11 @@
         Some(names.any(|name| name.trim_ascii().eq_ignore_ascii_case(field.as_bytes())))
     }
 
+    /// Returns whether bytes have been read that follow the last body.
+    pub fn next_head_begun(&self) -> bool {
+        !self.recorded.is_empty()
+    }
+
     /// Begins the body of the request whose head is recorded. What follows this body belongs to the next request.
     pub fn begin_body(&mut self, framing: BodyFraming) {
         let head_length = self.head_length().filter(|_| !self.overflowed);
--- a/node/src/server/connection.rs
+++ b/node/src/server/connection.rs
@@ -193,6 +193,15 @@
         }
     }
 
+    /// Records that the body of a request that was answered early has been read to its end, if one is being read: the
+    /// next request's time and bytes count from here.
+    pub fn end_draining(&self) {
+        if self.draining_upload.replace(false) && matches!(self.phase(), Phase::Idle | Phase::ReceivingHead) {
+            let head_begun = self.meter.next_head_begun();
+            self.enter_phase(if head_begun { Phase::ReceivingHead } else { Phase::Idle });
+        }
+    }
+
     /// Enters the phase in which a body is received. The time and the bytes read count from the start of the head.
     pub fn enter_body_phase(&self) {
         self.phase.set(Phase::ReceivingBody);
--- a/node/src/server/handler.rs
+++ b/node/src/server/handler.rs
@@ -77,6 +77,7 @@
 impl Server {
     /// Answers one request of a client.
     pub(super) async fn answer(&self, request: Request<Incoming>, client: &Rc<ClientConnection>) -> Answer {
+        client.end_draining();
         if client.phase() == Phase::Idle {
             client.enter_phase(Phase::ReceivingHead);
         }
@@ -278,7 +279,7 @@
                 }
             }
             if let Some(client) = client.upgrade() {
-                client.draining_upload.set(false);
+                client.end_draining();
             }
             driver.body_received(&pending, time_left(&client));
         });
--- a/node/tests/long_uploads.rs
+++ b/node/tests/long_uploads.rs
@@ -192,6 +192,35 @@
     assert_eq!(answer.status(), 200, "{}", fixture.gateway.log());
 }
 
+/// Guards against taking a request for one that has arrived, and so never cutting its client off, because an earlier one
+/// on its connection was answered before its body had come.
+#[test]
+fn a_client_that_stops_in_a_body_behind_one_that_was_answered_early() {
+    let (address, _connections) = raw_backend(|mut reader| {
+        std::thread::spawn(move || {
+            read_head(&mut reader);
+            write(&reader, &answer("200 OK", "", "x"));
+            let _ = std::io::copy(&mut reader, &mut std::io::sink());
+        });
+    });
+    let fixture = start_fixture(address);
+    let mut client = fixture.gateway.client();
+    client.send(&head(Some(BODY_BYTES)));
+    client.send(&"y".repeat(100_000));
+    assert_eq!(client.read_answer().expect("an answer").status(), 200);
+    // The rest of the body comes in pieces, so that its end is seen while it is being discarded.
+    for _ in 0..30 {
+        client.send(&"y".repeat(10_000));
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    client.send(&head(Some(1_000)));
+    client.send(&"y".repeat(500));
+    let stopped_at = Instant::now();
+    client.read_to_end();
+    let elapsed = stopped_at.elapsed();
+    assert!(elapsed < Duration::from_millis(3_500), "{elapsed:?} {}", fixture.gateway.log());
+}
+
 /// Returns a client that has sent a part of its body, and has received the beginning of an answer that never ends.
 fn client_with_partial_answer() -> (Fixture, Client) {
     let (address, _connections) = early_answering_backend(
