Look for a length field in chunked requests alone

Cause: the change that follows requests through a connection's bytes searched the head of every request for it. The check reads the same for chunked requests.

--- a/node/src/server/handler.rs
+++ b/node/src/server/handler.rs
@@ -82,7 +82,8 @@
             client.enter_phase(Phase::ReceivingHead);
         }
         let framing = body_framing(request.body());
-        let length_field = client.meter.head_has_field(CONTENT_LENGTH.as_str());
+        let chunked = framing == BodyFraming::Chunked;
+        let two_lengths = chunked && client.meter.head_has_field(CONTENT_LENGTH.as_str()) != Some(false);
         client.meter.begin_body(framing);
         if request.uri().path() == "/healthz" {
             return self.health_check(request.method());
@@ -95,7 +96,7 @@
         };
         // Request smuggling: a backend that uses the length instead of the chunks could take a part of the body for
         // another request.
-        if framing == BodyFraming::Chunked && length_field != Some(false) {
+        if two_lengths {
             return closing_answer(StatusCode::BAD_REQUEST, "two lengths\n");
         }
         client.record_request(&metadata.correlation_id);
