--- a/node/tests/long_uploads.rs
+++ b/node/tests/long_uploads.rs
@@ -170,10 +170,8 @@
     assert_eq!(client.ask(&request("consulta", 9, 2000)).status(), 200);
 }
 
-/// Guards against refusing a chunked request, as if it also had a length, because it follows a body that was answered
-/// before it was complete.
-#[test]
-fn a_chunked_request_behind_a_body_that_was_answered_early() {
+/// Returns a client whose request has been answered after the first 100,000 bytes of its body.
+fn client_with_early_answer() -> (Fixture, Client) {
     let (address, _connections) = raw_backend(|mut reader| {
         std::thread::spawn(move || {
             read_head(&mut reader);
@@ -186,6 +184,14 @@
     client.send(&head(Some(BODY_BYTES)));
     client.send(&"y".repeat(100_000));
     assert_eq!(client.read_answer().expect("an answer").status(), 200);
+    (fixture, client)
+}
+
+/// Guards against refusing a chunked request, as if it also had a length, because it follows a body that was answered
+/// before it was complete.
+#[test]
+fn a_chunked_request_behind_a_body_that_was_answered_early() {
+    let (fixture, mut client) = client_with_early_answer();
     client.send(&"y".repeat(BODY_BYTES - 100_000));
     client.send(&head(None));
     let answer = client.ask(&(piece(true, 10) + "0\r\n\r\n"));
@@ -196,18 +202,7 @@
 /// on its connection was answered before its body had come.
 #[test]
 fn a_client_that_stops_in_a_body_behind_one_that_was_answered_early() {
-    let (address, _connections) = raw_backend(|mut reader| {
-        std::thread::spawn(move || {
-            read_head(&mut reader);
-            write(&reader, &answer("200 OK", "", "x"));
-            let _ = std::io::copy(&mut reader, &mut std::io::sink());
-        });
-    });
-    let fixture = start_fixture(address);
-    let mut client = fixture.gateway.client();
-    client.send(&head(Some(BODY_BYTES)));
-    client.send(&"y".repeat(100_000));
-    assert_eq!(client.read_answer().expect("an answer").status(), 200);
+    let (fixture, mut client) = client_with_early_answer();
     // The rest of the body comes in pieces, so that its end is seen while it is being discarded.
     for _ in 0..30 {
         client.send(&"y".repeat(10_000));
