Replace a gateway's configuration in the soak in one step

Cause: the soak wrote config.json in place. The fault was the soak's; no check is changed.

Change: the file is written beside the old one and renamed.

--- a/soak/src/gateway.rs
+++ b/soak/src/gateway.rs
@@ -95,7 +95,10 @@
             "seed": format!("{:016x}", self.seed.wrapping_add(self.index as u64 * 7919)),
             "limits": self.limits, "known": discovery.registry.initial_list(self.index), "settings": self.settings,
         });
-        Ok(std::fs::write(&self.config, config.to_string())?)
+        // A process that is just starting reads the file: it finds the old text or the new one, and no part of either.
+        let next = self.config.with_extension("next");
+        std::fs::write(&next, config.to_string())?;
+        Ok(std::fs::rename(next, &self.config)?)
     }
 
     /// Writes the configuration and starts a process; `prepare` can make its system calls fail from the start.
