Write the long requests of the tests in one place

Three test files wrote the head of a long request and its chunks each for themselves; upload_head and body_piece of the common rig serve all three now.

--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -921,3 +921,24 @@
          x-time-left-ms: {time_left_ms}\r\nquota-info: units=1,spread=2,first=0\r\n{extra_headers}\r\n{body}"
     )
 }
+
+/// Formats the head of a request of a class with a body: of this length in bytes or, without one, in chunks.
+pub fn upload_head(class: &str, time_left_ms: u64, length: Option<usize>) -> String {
+    let field = match length {
+        Some(length) => format!("content-length: {length}"),
+        None => "transfer-encoding: chunked".to_owned(),
+    };
+    request(class, 7, time_left_ms).replace("content-length: 4\r\n\r\n{42}", &format!("{field}\r\n\r\n"))
+}
+
+/// The empty chunk that ends a chunked body.
+pub const LAST_CHUNK: &str = "0\r\n\r\n";
+
+/// Formats a piece of a body in wire form: as a chunk if `chunked`.
+pub fn body_piece(chunked: bool, data: &str) -> String {
+    if chunked {
+        format!("{:x}\r\n{data}\r\n", data.len())
+    } else {
+        data.to_owned()
+    }
+}
--- a/node/tests/hedged_uploads.rs
+++ b/node/tests/hedged_uploads.rs
@@ -38,16 +38,10 @@
 
 /// Returns the head of a keyed request and two halves of its body in wire form: with a length, or in chunks.
 fn upload(body: &str, chunked: bool) -> (String, [String; 2]) {
-    let halves = body.split_at(body.len() / 2);
-    let (field, halves) = if chunked {
-        let chunk = |data: &str| format!("{:x}\r\n{data}\r\n", data.len());
-        ("transfer-encoding: chunked".to_owned(), [chunk(halves.0), chunk(halves.1) + "0\r\n\r\n"])
-    } else {
-        (format!("content-length: {}", body.len()), [halves.0.to_owned(), halves.1.to_owned()])
-    };
-    let head =
-        request("modificar", 7, 14_000).replace("content-length: 4\r\n\r\n{42}", &format!("{field}\r\n\r\n"));
-    (head, halves)
+    let (first, second) = body.split_at(body.len() / 2);
+    let end = if chunked { LAST_CHUNK } else { "" };
+    let halves = [body_piece(chunked, first), body_piece(chunked, second) + end];
+    (upload_head("modificar", 14_000, (!chunked).then_some(body.len())), halves)
 }
 
 /// Guards against sending a request to a backend with a part of its body or without it: the first attempt's connection
--- a/node/tests/long_uploads.rs
+++ b/node/tests/long_uploads.rs
@@ -47,22 +47,12 @@
 
 /// Returns the head of a request with a body of this length in bytes, or, without a length, with a chunked body.
 fn head(length: Option<usize>) -> String {
-    let field = match length {
-        Some(length) => format!("content-length: {length}"),
-        None => "transfer-encoding: chunked".to_owned(),
-    };
-    request("orden-nueva", 7, CLIENT_WAIT_MS)
-        .replace("content-length: 4\r\n\r\n{42}", &format!("{field}\r\n\r\n"))
+    upload_head("orden-nueva", CLIENT_WAIT_MS, length)
 }
 
 /// Returns a piece of a body, as a chunk if `chunked`.
 fn piece(chunked: bool, bytes: usize) -> String {
-    let data = "y".repeat(bytes);
-    if chunked {
-        format!("{bytes:x}\r\n{data}\r\n")
-    } else {
-        data
-    }
+    body_piece(chunked, &"y".repeat(bytes))
 }
 
 /// Guards against cutting off the body of a client that pauses but keeps to 64 kB/s on average, whatever the size, the
--- a/node/tests/stalled_uploads.rs
+++ b/node/tests/stalled_uploads.rs
@@ -113,16 +113,10 @@
 
 /// Returns the head of a request with a body of this length, and the body in wire form: with a length, or in chunks.
 fn upload(body_bytes: usize, chunked: bool) -> (String, String) {
-    let piece = "y".repeat(body_bytes / 10);
-    let (field, body) = if chunked {
-        let chunk = format!("{:x}\r\n{piece}\r\n", piece.len());
-        ("transfer-encoding: chunked".to_owned(), chunk.repeat(10) + "0\r\n\r\n")
-    } else {
-        (format!("content-length: {}", piece.len() * 10), piece.repeat(10))
-    };
-    let head = request("orden-nueva", 7, CLIENT_WAIT_MS)
-        .replace("content-length: 4\r\n\r\n{42}", &format!("{field}\r\n\r\n"));
-    (head, body)
+    let data = "y".repeat(body_bytes / 10);
+    let body = body_piece(chunked, &data).repeat(10) + if chunked { LAST_CHUNK } else { "" };
+    let length = (!chunked).then_some(data.len() * 10);
+    (upload_head("orden-nueva", CLIENT_WAIT_MS, length), body)
 }
 
 /// Sends a request of which the backend gets only a part. Returns the client once the gateway's machine has
