--- /dev/null
+++ b/review/standins-2/main.rs
@@ -0,0 +1,17 @@
+//! The cases of the second review: `review-2 CASE FOLDER`. FOLDER is the folder of the case, which gets `record.txt`.
+//! It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+
+#[allow(dead_code)]
+mod common;
+#[path = "../6/case.rs"]
+mod crowd;
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, case, folder] = &arguments[..] else { common::cannot_run("usage: review-2 CASE FOLDER") };
+    let setup = common::Case::new(folder);
+    match case.as_str() {
+        "6" => crowd::run(&setup),
+        _ => common::cannot_run("no such case"),
+    }
+}
