Add a review case: both processes of an upgrade spend the whole share of a ceiling

A customer with a ceiling of 40 units and a slack of 4 presses during an upgrade of one of its two gateways.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,6 +1,8 @@
 //! The cases of the second review: `review-2 CASE FOLDER`. FOLDER is the folder of the case, which gets `record.txt`.
 //! It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
+#[path = "../7/case.rs"]
+mod ceiling;
 #[allow(dead_code)]
 mod common;
 #[path = "../6/case.rs"]
@@ -12,6 +14,7 @@
     let setup = common::Case::new(folder);
     match case.as_str() {
         "6" => crowd::run(&setup),
+        "7" => ceiling::run(&setup),
         _ => common::cannot_run("no such case"),
     }
 }
