Add a review case: a long answer in chunks is cut off while its backend gives it

The backend gives 60 KiB a second; the first of them come in time, the next 0.6 s after the client's time.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -3,6 +3,8 @@
 
 #[path = "../7/case.rs"]
 mod ceiling;
+#[path = "../8/case.rs"]
+mod chunked;
 #[allow(dead_code)]
 mod common;
 #[path = "../6/case.rs"]
@@ -15,6 +17,7 @@
     match case.as_str() {
         "6" => crowd::run(&setup),
         "7" => ceiling::run(&setup),
+        "8" => chunked::run(&setup),
         _ => common::cannot_run("no such case"),
     }
 }
