--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -9,6 +9,8 @@
 mod common;
 #[path = "../6/case.rs"]
 mod crowd;
+#[path = "../9/case.rs"]
+mod spoilt;
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
@@ -18,6 +20,7 @@
         "6" => crowd::run(&setup),
         "7" => ceiling::run(&setup),
         "8" => chunked::run(&setup),
+        "9" => spoilt::run(&setup),
         _ => common::cannot_run("no such case"),
     }
 }
