--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -9,6 +9,8 @@
 mod common;
 #[path = "../6/case.rs"]
 mod crowd;
+#[path = "../10/case.rs"]
+mod drain;
 #[path = "../9/case.rs"]
 mod spoilt;
 
@@ -21,6 +23,7 @@
         "7" => ceiling::run(&setup),
         "8" => chunked::run(&setup),
         "9" => spoilt::run(&setup),
+        "10" => drain::run(&setup),
         _ => common::cannot_run("no such case"),
     }
 }
