--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -125,6 +125,23 @@
     )
 }
 
+/// The settings of the other deployment, with these plans: shorter deadlines, no counter, no probes, no second copies.
+pub fn cotiza_settings(me: usize, gateways: usize, tariffs: &str) -> String {
+    let changes = [
+        (r#""name": "search""#, r#""name": "quote""#),
+        (r#""aim_us": 800000, "deadline_us": 2500000"#, r#""aim_us": 400000, "deadline_us": 1500000"#),
+        (r#""aim_us": 2000000, "deadline_us": 8000000"#, r#""aim_us": 750000, "deadline_us": 2000000"#),
+        (r#""shared_counter": true"#, r#""shared_counter": false"#),
+        (r#""drain_grace_us": 2000000"#, r#""drain_grace_us": 1000000"#),
+        (r#""probes": true"#, r#""probes": false"#),
+        (r#""retry_after": true"#, r#""retry_after": false"#),
+        (r#""second_copies": true"#, r#""second_copies": false"#),
+        (r#""tip_after_us": 2000000"#, r#""tip_after_us": 1000000"#),
+        (r#"["room-a", "room-b", "room-c"]"#, r#"["qro-1"]"#),
+    ];
+    changes.iter().fold(settings(me, gateways, tariffs), |text, (from, to)| text.replace(from, to))
+}
+
 /// A plan with a quota, without a ceiling.
 pub fn quota_plan(name: &str, rate: f64, burst: f64) -> String {
     format!(
