--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -1,58 +1,54 @@
-//! The hard ceiling of a customer, over an upgrade of one of its two gateways.
+//! The hard ceiling of a customer whose clients send long bodies slowly, and go on asking meanwhile.
 
 use crate::common::*;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
-const RATE: f64 = 4.0;
+/// The ceiling: units a second, units at the most, and how far below 0 it may fall (the largest request).
+const RATE: f64 = 10.0;
 const BURST: f64 = 40.0;
-/// A tenth of the burst.
-const SLACK: f64 = 4.0;
+const SLACK: f64 = 6.0;
 const CUSTOMER: u64 = 0x7a;
-/// The connections that the front keeps to each gateway, and the requests of the customer that come over them in a row.
-const KEPT: usize = 30;
+const GATEWAYS: usize = 2;
+/// The long bodies at each gateway: 256 KiB at 64 kB a second.
+const BODIES: usize = 20;
+const BODY: usize = 256 * 1024;
+const PIECE: usize = 8 * 1024;
+const PIECE_PAUSE: Duration = Duration::from_millis(128);
+/// The short requests at each gateway, and when they come after the long ones began.
+const SHORT: usize = 18;
+const SHORT_AFTER: Duration = Duration::from_millis(3_500);
 
-fn ask(id: &str, plan: &str, customer: u64) -> Vec<u8> {
-    Ask { class: "search", id, plan, customer, units: 1, spread: 2, first: 0, time_left_ms: 2500, body: b"" }
-        .bytes()
-}
-
-/// Sends one request of the customer over each connection, 5 ms apart, and reads the answers.
-fn burst(case: &Case, name: &str, connections: &mut [Connection]) {
-    for (n, connection) in connections.iter_mut().enumerate() {
-        drop(connection.send(&ask(&format!("{name}-{n}"), "capped", CUSTOMER)));
-        thread::sleep(Duration::from_millis(5));
-    }
-    let mut statuses = Vec::new();
-    for connection in connections.iter_mut() {
-        statuses.push(connection.read_answer(Duration::from_secs(3)).map_or(0, |answer| answer.status));
-    }
-    let served = statuses.iter().filter(|s| **s == 200).count();
-    case.record
-        .line(&format!("{name}: {} requests of the customer, {served} served; {statuses:?}", statuses.len()));
-}
-
-/// Opens the front's connections, and sends a request of another customer over each.
-fn open_kept(case: &Case, gateway: &Gateway, name: &str) -> Vec<Connection> {
-    let mut connections = Vec::new();
-    for n in 0..KEPT {
-        let mut connection = Connection::open(gateway.listen).unwrap_or_else(|e| cannot_run(&e.to_string()));
-        drop(connection.send(&ask(&format!("open-{name}-{n}"), "plain", 500 + n as u64)));
-        let answer = connection.read_answer(Duration::from_secs(3));
-        // The customer, too, has come to each of its gateways before.
-        if n == 0 {
-            drop(connection.send(&ask(&format!("early-{name}"), "capped", CUSTOMER)));
-            drop(connection.read_answer(Duration::from_secs(3)));
-        }
-        if !answer.as_ref().is_ok_and(|answer| answer.status == 200 && !answer.closes) {
-            cannot_run(&format!("a request before the upgrade got {answer:?}"));
+/// Sends one request with a body of `BODY` bytes, or without one, and returns the status.
+fn ask(address: SocketAddr, id: &str, body: &[u8], pause: Duration) -> u16 {
+    let class = if body.is_empty() { "search" } else { "book" };
+    let time_left_ms = if body.is_empty() { 2500 } else { 8000 };
+    let ask = Ask {
+        class,
+        id,
+        plan: "capped",
+        customer: CUSTOMER,
+        units: 1,
+        spread: GATEWAYS as u32,
+        first: 0,
+        time_left_ms,
+        body,
+    };
+    let bytes = ask.bytes();
+    let (head, body) = bytes.split_at(bytes.len() - body.len());
+    let exchange = || -> std::io::Result<u16> {
+        let mut connection = Connection::open(address)?;
+        connection.send(head)?;
+        for piece in body.chunks(PIECE) {
+            connection.send(piece)?;
+            thread::sleep(pause);
         }
-        connections.push(connection);
-    }
-    case.record.line(&format!("{KEPT} connections to {} are open", gateway.name));
-    connections
+        Ok(connection.read_answer(Duration::from_secs(9))?.status)
+    };
+    exchange().unwrap_or(0)
 }
 
 pub fn run(case: &Case) {
@@ -61,7 +57,7 @@
         10,
         Arc::new(|_, _, stream| {
             thread::sleep(Duration::from_millis(4));
-            write_answer(stream, "200 OK", "Billed-Units: 1\r\n", b"found\n")
+            write_answer(stream, "200 OK", "Billed-Units: 1\r\n", b"done\n")
         }),
     );
     let discovery = Discovery::of_backends(&backends);
@@ -69,47 +65,57 @@
     let capped = format!(
         r#"{{"at_once": 0, "beyond_costs": 0.5, "ceiling_burst": {BURST:?}, "hard_rate": {RATE:?}, "hard_slack": {SLACK:?}, "name": "capped", "over_worth": 0.0, "peak_units": 0.0, "price": 1.0, "quota_rate": 0.0}}"#
     );
-    let tariffs = format!("{capped}, {}", quota_plan("plain", 50.0, 200.0));
     let limits = r#"{"cores": 1.0, "memory_mb": 192, "sockets": 1024}"#;
-    let gateway =
-        |index| Gateway::new(case, index, true, &settings(index, 2, &tariffs), limits, &discovery, counter);
-    let (first, second) = (gateway(0), gateway(1));
     // The store is full from here on.
     let full_since = case.record.now();
-    let old = first.start(case, "n0-old");
-    let other = second.start(case, "n1");
-    old.wait_until_ready(case);
-    other.wait_until_ready(case);
-    let load = Load::start(first.listen, "plain", 8, Duration::from_millis(100));
-    // Each gateway saves up its share of the burst, at its share of the rate: in 10 s.
-    thread::sleep(Duration::from_secs(11));
-    let mut to_old = open_kept(case, &first, "n0");
-    let mut to_other = open_kept(case, &second, "n1");
-    let (mut new, mut ending) = (None, None);
-    if case.trouble {
-        let process = first.start(case, "n0-new");
-        process.wait_until_ready(case);
-        new = Some(process);
-        ending = Some(terminate(case, old));
-    } else {
-        new.replace(old);
-    }
-    // The customer presses: over the connections that the front has, and over new ones.
-    burst(case, "kept", &mut to_old);
-    let mut fresh: Vec<Connection> = (0..KEPT).filter_map(|_| Connection::open(first.listen).ok()).collect();
-    burst(case, "fresh", &mut fresh);
-    burst(case, "other", &mut to_other);
-    let (asked, served) = load.stop();
-    case.record.line(&format!("the other customers asked {asked} times, {served} were served"));
-    ending.into_iter().for_each(|ending| drop(ending.join()));
-    drop((new, other));
+    let gateways: Vec<Gateway> = (0..GATEWAYS)
+        .map(|i| Gateway::new(case, i, false, &settings(i, GATEWAYS, &capped), limits, &discovery, counter))
+        .collect();
+    let processes: Vec<Process> =
+        gateways.iter().enumerate().map(|(i, gateway)| gateway.start(case, &format!("n{i}"))).collect();
+    processes.iter().for_each(|process| process.wait_until_ready(case));
+    // Each gateway saves up its share of the burst, at its share of the rate: in 4 s.
+    thread::sleep(Duration::from_secs(5));
+    let pause = if case.trouble { PIECE_PAUSE } else { Duration::ZERO };
+    let addresses: Vec<SocketAddr> = gateways.iter().map(|gateway| gateway.listen).collect();
+    let body = vec![b'x'; BODY];
+    case.record.line(&format!(
+        "{BODIES} long bodies begin at each gateway, with {} ms between pieces",
+        pause.as_millis()
+    ));
+    let statuses = thread::scope(|scope| {
+        let (mut clients, body) = (Vec::new(), &body);
+        for n in 0..BODIES {
+            for (i, address) in addresses.iter().copied().enumerate() {
+                clients.push(scope.spawn(move || ask(address, &format!("long-{i}-{n}"), body, pause)));
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        thread::sleep(SHORT_AFTER);
+        case.record.line(&format!("{SHORT} short requests at each gateway"));
+        for n in 0..SHORT {
+            for (i, address) in addresses.iter().copied().enumerate() {
+                clients
+                    .push(scope.spawn(move || ask(address, &format!("short-{i}-{n}"), b"", Duration::ZERO)));
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        clients.into_iter().map(|client| client.join().unwrap_or(0)).collect::<Vec<u16>>()
+    });
+    let count = |status: u16| statuses.iter().filter(|s| **s == status).count();
+    case.record.line(&format!(
+        "{} requests: {} served, {} refused with 429",
+        statuses.len(),
+        count(200),
+        count(429)
+    ));
+    drop(processes);
 
-    // The store, as the rule has it: the first attempt of each request takes its units.
+    // The store, as the rule has it: the first attempt of each request takes its units when it has come whole.
     let (mut level, mut at, mut lowest, mut seen) = (BURST, full_since, BURST, BTreeSet::new());
-    let mine = format!("/search/{CUSTOMER:016x}");
     let mut arrivals = backends.arrivals();
     arrivals.sort_by(|a, b| a.at.total_cmp(&b.at));
-    for arrival in arrivals.iter().filter(|arrival| arrival.target == mine) {
+    for arrival in &arrivals {
         if !seen.insert(arrival.id.clone()) {
             continue;
         }
@@ -121,10 +127,8 @@
             arrival.at, arrival.id, arrival.backend
         ));
     }
-    case.record.line(&format!(
-        "{} requests of the customer sent on, store at least {lowest:.2}, allowed -{SLACK}",
-        seen.len()
-    ));
+    case.record
+        .line(&format!("{} requests sent on, store at least {lowest:.2}, allowed -{SLACK}", seen.len()));
     let mut broken = Vec::new();
     // Every time limit is 50 ms longer: the store gets that much more.
     if lowest < -SLACK - RATE * 0.05 {
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -12,7 +12,7 @@
 #[path = "../10/case.rs"]
 mod drain;
 #[path = "../9/case.rs"]
-mod stalled;
+mod spoilt;
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
@@ -22,7 +22,7 @@
         "6" => crowd::run(&setup),
         "7" => ceiling::run(&setup),
         "8" => chunked::run(&setup),
-        "9" => stalled::run(&setup),
+        "9" => spoilt::run(&setup),
         "10" => drain::run(&setup),
         _ => common::cannot_run("no such case"),
     }
