--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -18,6 +18,7 @@
     fn kill(pid: i32, signal: i32) -> i32;
     fn dup2(from: i32, to: i32) -> i32;
     fn fcntl(fd: i32, command: i32, argument: i32) -> i32;
+    fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
     fn prctl(option: i32, argument: u64, third: u64, fourth: u64, fifth: u64) -> i32;
 }
 
@@ -29,6 +30,15 @@
 /// The descriptor at which a process inherits the clients' listening socket, as the pages name it.
 const INHERITED_FD: i32 = 4;
 
+/// Has a connection reset when it is closed.
+pub fn reset_on_close(stream: &TcpStream) {
+    const SOL_SOCKET: i32 = 1;
+    const SO_LINGER: i32 = 13;
+    let linger = [1, 0];
+    // SAFETY: the descriptor is open, and the value has the size that is given.
+    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, linger.as_ptr(), 8) };
+}
+
 /// Ends the case as one that could not run.
 pub fn cannot_run(reason: &str) -> ! {
     eprintln!("could not run: {reason}");
