--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -114,6 +114,10 @@
     case.record
         .line(&format!("{ignored} of {} bad peers got neither an error nor a close in time", ended.len()));
     case.record.line(&format!("{unanswered} of {REQUESTS} proper requests were never answered"));
+    let arrivals = backends.arrivals();
+    let from_peers = arrivals.iter().filter(|arrival| arrival.id.starts_with("bad-")).count();
+    case.record
+        .line(&format!("{} requests came to backends, {from_peers} of them from bad peers", arrivals.len()));
     drop(process);
     let mut broken = Vec::new();
     if unanswered > 0 {
