Hold back an answer without a length that rests just before its deadline

Cause: bytes of an answer of unknown length were passed on before it was known whether it is a long one or a short one that never ends. With a part of it passed on, neither waiting nor cutting it off keeps both rules.

Change: such an answer, where it begins less than 1.75 s before its deadline, is buffered in the answers' memory until it is whole, over 64 KiB, goes on after the deadline, or rests regularly with the next piece due in time (body/forwarding.rs). Else the client gets 504 0.4 s after its deadline. An answer passed on earlier is waited for half as long again as its backend has rested before.

bytes_that_have_come_while_the_process_could_not_run waited for the status line to know that the first bytes had come; a chunked answer is held back there now. It waits for the attempt's log line instead, and checks the status line afterwards; its last check is as it was.

--- a/node/src/backend/attempt.rs
+++ b/node/src/backend/attempt.rs
@@ -4,6 +4,7 @@
 use super::load_report::{parse_billed_units, parse_load_report};
 use super::message::{strip_hop_by_hop, Message, Payload};
 use super::pool::{shortened_idle_timeout, Connection, Pool};
+use crate::body::budget::Reservation;
 use crate::body::download::{AnswerBody, AnswerConnection, Deadline, Download};
 use crate::body::gather::{gather, Gathered};
 use crate::body::upload::UploadSource;
@@ -252,7 +253,7 @@
             return CompletedAttempt { load, ..Outcome::Reset.into() };
         }
         let deadline = context.deadline.clone().filter(|_| head.status == StatusCode::OK);
-        let gathered = self.gather(body, length, deadline.as_ref()).await;
+        let (gathered, reservation) = self.gather(body, length, deadline.as_ref()).await;
         let outcome = outcome_of(&head);
         let billed_units = head.headers.get(BILLED_UNITS_HEADER).filter(|_| outcome == Outcome::Ok);
         let billed_units = billed_units.and_then(|v| parse_billed_units(v.to_str().ok()?, self.max_units));
@@ -270,7 +271,7 @@
                     let ResponseContext { id, connection, upload, .. } = context;
                     let connection = PooledConnection { pool: self.clone(), id, connection, upload };
                     let connection = Box::new(connection);
-                    Either::Right(Download::new(first, rest, deadline, connection))
+                    Either::Right(Download::new(first, reservation, rest, deadline, connection))
                 }
                 // The body of a response that is not passed on is not needed.
                 None if outcome != Outcome::Ok => Either::Left(Full::default()),
@@ -285,16 +286,23 @@
     /// Buffers a response that may be small, if there is memory for it. A response of unknown length that may be
     /// passed on is buffered for at most `MAX_GATHER_TIME`, and at the latest until `GATHER_MARGIN` before the
     /// deadline: buffering up to the deadline would time the attempt out although its first bytes arrived in time.
-    async fn gather(&self, body: Incoming, length: Option<u64>, deadline: Option<&Deadline>) -> Gathered {
+    /// Returns also the memory reserved for buffering.
+    async fn gather(
+        &self,
+        body: Incoming,
+        length: Option<u64>,
+        deadline: Option<&Deadline>,
+    ) -> (Gathered, Option<Reservation>) {
         let small = length.is_none_or(|n| n <= MAX_BUFFERED_BYTES as u64);
         let bytes = length.and_then(|n| usize::try_from(n).ok()).unwrap_or(MAX_BUFFERED_BYTES);
         let reservation = if small { self.body_budget.reserve(bytes) } else { None };
         let until = deadline.filter(|_| length.is_none());
         let until = until.map(|end| (Instant::now() + MAX_GATHER_TIME).min(end.get() - GATHER_MARGIN));
-        match reservation {
+        let gathered = match reservation {
             Some(_) => gather(body, until).await,
             None => Gathered::Partial(Bytes::new(), body),
-        }
+        };
+        (gathered, reservation)
     }
 
     /// Probes a backend by requesting its load report over a new connection. Its idle connections are closed: it is
--- a/node/src/body.rs
+++ b/node/src/body.rs
@@ -4,6 +4,7 @@
 pub mod answer_limit;
 pub mod budget;
 pub mod download;
+pub mod forwarding;
 pub mod gather;
 pub mod interruption;
 pub mod scanner;
--- a/node/src/body/gather.rs
+++ b/node/src/body/gather.rs
@@ -18,17 +18,19 @@
 
 /// The bytes buffered so far. Most bodies arrive in one frame, which is kept without copying.
 #[derive(Default)]
-struct Buffer {
+pub(super) struct Buffer {
     first: Bytes,
     joined: BytesMut,
 }
 
 impl Buffer {
-    fn len(&self) -> usize {
+    /// Returns the number of bytes buffered.
+    pub(super) fn len(&self) -> usize {
         self.first.len() + self.joined.len()
     }
 
-    fn push(&mut self, data: Bytes) {
+    /// Appends `data`.
+    pub(super) fn push(&mut self, data: Bytes) {
         if self.len() == 0 {
             self.first = data;
             return;
@@ -39,7 +41,8 @@
         self.joined.extend_from_slice(&data);
     }
 
-    fn into_bytes(self) -> Bytes {
+    /// Returns all bytes in one piece.
+    pub(super) fn into_bytes(self) -> Bytes {
         if self.joined.is_empty() {
             self.first
         } else {
--- a/node/src/server/handler.rs
+++ b/node/src/server/handler.rs
@@ -1,14 +1,16 @@
 //! Handling of one request: validates it, passes it to the driver and answers it.
 
 use super::connection::{ClientConnection, Phase};
-use super::transfer::{RequestLabel, StreamedAnswer, UploadMonitor};
+use super::transfer::{record_answer_interruption, RequestLabel, StreamedAnswer, UploadMonitor};
 use super::upload_watch::{UploadState, UploadWatch};
 use super::Server;
 use crate::admission::{admit, Rejection, RequestMetadata};
 use crate::backend::message::strip_hop_by_hop;
 use crate::backend::{Message, Payload};
+use crate::body::answer_limit::LATE_GRACE;
+use crate::body::download::Download;
 use crate::body::gather::{gather, Gathered};
-use crate::body::interruption::UploadInterruption;
+use crate::body::interruption::{AnswerInterruption, UploadInterruption};
 use crate::body::scanner::BodyFraming;
 use crate::body::upload::UploadSource;
 use crate::body::MAX_BUFFERED_BYTES;
@@ -286,6 +288,27 @@
         });
     }
 
+    /// How long after its request's deadline a buffered answer is waited for. An ending process has no such time.
+    fn late_grace(&self) -> Duration {
+        if self.driver.shutting_down() {
+            Duration::ZERO
+        } else {
+            LATE_GRACE
+        }
+    }
+
+    /// Counts, logs and answers a request as failed whose answer was interrupted before any of it was passed on.
+    fn answer_interrupted(
+        &self,
+        request: &RequestLabel,
+        download: &Download,
+        reason: AnswerInterruption,
+    ) -> Answer {
+        record_answer_interruption(&self.metrics, request, &download.progress(), reason);
+        self.metrics.record_request(request.class, RequestOutcome::Failed);
+        closing_answer(StatusCode::GATEWAY_TIMEOUT, "failed\n")
+    }
+
     /// Builds the answer to the client from the final result of its request, and counts the result.
     async fn build_answer(
         &self,
@@ -302,7 +325,10 @@
                         self.metrics.record_request(request.class, RequestOutcome::Passed);
                         Either::Left(body)
                     }
-                    Either::Right(download) => {
+                    Either::Right(mut download) => {
+                        if let Err(reason) = download.hold(self.late_grace()).await {
+                            return self.answer_interrupted(&request, &download, reason);
+                        }
                         let (client, metrics) = (client.clone(), self.metrics.clone());
                         Either::Right(StreamedAnswer::new(download, client, metrics, request, in_progress))
                     }
--- a/node/src/server/transfer.rs
+++ b/node/src/server/transfer.rs
@@ -1,7 +1,7 @@
 //! Bodies in transfer: counts how each one ends, and logs those that are interrupted.
 
 use super::connection::{ClientConnection, Phase};
-use crate::body::download::Download;
+use crate::body::download::{Download, Progress};
 use crate::body::interruption::{AnswerInterruption, UploadInterruption};
 use crate::figures::{Metrics, RequestInProgress, RequestOutcome};
 use bytes::Bytes;
@@ -21,6 +21,25 @@
     pub correlation_id: Rc<str>,
 }
 
+/// Counts and logs the interruption of an answer.
+pub(super) fn record_answer_interruption(
+    metrics: &Metrics,
+    request: &RequestLabel,
+    progress: &Progress,
+    reason: AnswerInterruption,
+) {
+    let line = format!(
+        "answer interrupted: {reason}; request {:?} of class {}, backend {}: {} bytes in {} ms, the last {} ms ago",
+        request.correlation_id,
+        metrics.class_name(request.class),
+        progress.backend,
+        progress.received,
+        progress.began.elapsed().as_millis(),
+        progress.last_received.elapsed().as_millis(),
+    );
+    metrics.record_answer_interruption(reason, &line);
+}
+
 /// The body of an answer that is being streamed. Counts its request by how the answer ends, unless the client has
 /// left.
 pub struct StreamedAnswer {
@@ -28,7 +47,6 @@
     client: Rc<ClientConnection>,
     metrics: Rc<Metrics>,
     request: RequestLabel,
-    started_at: Instant,
     /// The request in progress; `None` once its outcome has been counted.
     in_progress: Option<RequestInProgress>,
 }
@@ -43,14 +61,7 @@
         in_progress: RequestInProgress,
     ) -> Self {
         client.answer_progress.set(Some(download.progress()));
-        StreamedAnswer {
-            download,
-            client,
-            metrics,
-            request,
-            started_at: Instant::now(),
-            in_progress: Some(in_progress),
-        }
+        StreamedAnswer { download, client, metrics, request, in_progress: Some(in_progress) }
     }
 
     /// Counts the request as passed.
@@ -70,17 +81,7 @@
         if !client_left {
             self.metrics.record_request(self.request.class, RequestOutcome::Failed);
         }
-        let progress = self.download.progress();
-        let line = format!(
-            "answer interrupted: {reason}; request {:?} of class {}, backend {}: {} bytes in {} ms, the last {} ms ago",
-            self.request.correlation_id,
-            self.metrics.class_name(self.request.class),
-            progress.backend,
-            progress.received,
-            self.started_at.elapsed().as_millis(),
-            progress.last_received.elapsed().as_millis(),
-        );
-        self.metrics.record_answer_interruption(reason, &line);
+        record_answer_interruption(&self.metrics, &self.request, &self.download.progress(), reason);
     }
 }
 
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -651,6 +651,15 @@
         std::fs::read_to_string(self.config.with_extension("log")).expect("a log")
     }
 
+    /// Waits until the log contains `text`.
+    pub fn wait_for_log(&self, text: &str) {
+        let deadline = Instant::now() + TEST_TIMEOUT;
+        while !self.log().contains(text) {
+            assert!(Instant::now() < deadline, "the log lacks {text:?}: {}", self.log());
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
     /// Returns the process id.
     pub fn pid(&self) -> u32 {
         self.child.id()
@@ -874,6 +883,11 @@
         Some(bytes)
     }
 
+    /// Waits for bytes, which remain to be read.
+    pub fn wait_for_bytes(&mut self) {
+        assert!(!self.reader.fill_buf().expect("bytes").is_empty(), "the connection ends");
+    }
+
     /// Reads until the connection ends, by a close or an error.
     pub fn read_to_end(&mut self) {
         while self.read_available().is_some_and(|bytes| !bytes.is_empty()) {}
--- a/node/tests/long_answers.rs
+++ b/node/tests/long_answers.rs
@@ -241,6 +241,63 @@
     assert_all_arrive_whole(ALL_FRAMINGS.into_iter().flat_map(cases).collect());
 }
 
+/// Guards against cutting off an answer without a length that begins shortly before its deadline and rests across it:
+/// its client has to get an error in time rather than a part of it.
+#[test]
+fn an_answer_that_begins_shortly_before_its_deadline_and_rests() {
+    let cases: HashMap<u64, Case> = (1..)
+        .zip([Framing::Chunks, Framing::Close].into_iter().flat_map(|framing| {
+            [
+                case("nearly long", framing, &[(250, 1, 60_000), (1_100, 2, 60_000)]),
+                case("small pieces", framing, &[(400, 1, 10), (1_000, 10, 10_000)]),
+                case("from the start", framing, &[(0, 1, 30_000), (1_500, 3, 30_000)]),
+                case("several pieces, then a rest", framing, &[(30, 3, 10_000), (1_500, 3, 30_000)]),
+            ]
+        }))
+        .collect();
+    let scripts = cases.clone();
+    let fixture = LongAnswerFixture::new(move |customer| scripts[&customer].reaction(), cases.len());
+    let began = Instant::now();
+    let clients: Vec<_> = cases.into_iter().map(|(n, case)| (case, fixture.send_request(n))).collect();
+    for (case, mut client) in clients {
+        let answer = client.read_answer().map(|answer| answer.status());
+        assert_eq!(answer, Some(504), "{} {:?}: {}", case.name, case.framing, fixture.gateway().log());
+        assert!(began.elapsed() < Duration::from_millis(CLIENT_WAIT_MS) + ERROR_TIME_LIMIT);
+    }
+}
+
+/// Guards against cutting off an answer without a length whose backend rests as regularly after the deadline as before,
+/// and against passing on such an answer too late.
+#[test]
+fn an_answer_in_regular_pieces() {
+    let wait_ms = [CLIENT_WAIT_MS, 2_900];
+    let pieces: [&[(u64, usize, usize)]; 2] =
+        [&[(100, 1, 6_000), (250, 13, 6_000)], &[(0, 1, 10_000), (1_200, 6, 12_000)]];
+    for framing in [Framing::Chunks, Framing::Close] {
+        let cases = pieces.map(|script| case("regular", framing, script));
+        let scripts = cases.clone();
+        let fixture =
+            LongAnswerFixture::new(move |customer| scripts[customer as usize].reaction(), cases.len());
+        let clients = (0..).zip(cases).zip(wait_ms).map(|((customer, case), wait_ms)| {
+            let mut client = fixture.gateway().client();
+            client.send(&request("consulta", customer, wait_ms));
+            (case, client, Instant::now() + Duration::from_millis(wait_ms))
+        });
+        let clients: Vec<_> = clients.collect();
+        let ask = |(case, mut client, deadline): (Case, Client, Instant)| {
+            client.wait_for_bytes();
+            let in_time = Instant::now() < deadline;
+            (case.length(), in_time, client.read_answer().map(|answer| (answer.status(), answer.body.len())))
+        };
+        let answers: Vec<_> = clients.into_iter().map(|c| std::thread::spawn(move || ask(c))).collect();
+        for answer in answers {
+            let (length, in_time, received) = answer.join().expect("a client");
+            assert_eq!((in_time, received), (true, Some((200, length))), "{}", fixture.gateway().log());
+        }
+        fixture.assert_none_interrupted();
+    }
+}
+
 /// Guards against a timeout for an answer without a length whose head arrives so late that buffering its beginning goes
 /// past the request's deadline.
 #[test]
@@ -288,12 +345,13 @@
             let _ = reader.read(&mut [0]);
         });
         let entries = vec![entry("s-0", address, "SERVING")];
-        let Fixture { gateway, discovery, counter } =
-            Fixture::new(&GatewayOptions::default(), entries, fake_counter());
+        let options = GatewayOptions { debug_log: true, ..GatewayOptions::default() };
+        let Fixture { gateway, discovery, counter } = Fixture::new(&options, entries, fake_counter());
         let mut client = gateway.client();
         let began = Instant::now();
         client.send(&request("consulta", 1, CLIENT_WAIT_MS));
-        assert_eq!(client.read_line(), "HTTP/1.1 200 OK");
+        // The first bytes have arrived; whether the client has got any yet depends on the framing.
+        gateway.wait_for_log("attempt 0 ended: ok");
         gateway.signal("-STOP");
         // Longer than any time limit of the answer.
         let stopped_for = Duration::from_millis(4_500);
@@ -301,6 +359,7 @@
         resume.send(()).expect("the backend waits");
         std::thread::sleep(stopped_for.saturating_sub(began.elapsed()));
         gateway.signal("-CONT");
+        assert_eq!(client.read_line(), "HTTP/1.1 200 OK", "{}", gateway.log());
         while !client.read_line().is_empty() {}
         let mut received = Vec::new();
         while received.len() < 170_000 {
