Close connections behind the answers that are on their way when a drain begins

Cause: an answer whose head is written before the drain does not announce the end of its connection, and a client that goes on at once is never idle, so neither way in which a drain dismisses clients reached it.

Change: while a drain is in force, connections on which an answer is being sent are told to close behind it. Connections from which a further request has been read already, or may be read with the end of a body, are left out, at the end of the process too: they close with their next answer.

--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -253,7 +253,7 @@
     let mut last_answered = Instant::now();
     while !server.has_no_connections() && last_answered.elapsed() < LAST_BYTES_TIMEOUT {
         server.abort_stalled_answers(LAST_BYTES_TIMEOUT);
-        server.close_after_answers();
+        server.close_after_answers(CloseReason::Ending);
         server.close_idle(Duration::ZERO, CloseReason::Ending);
         if server.is_answering() {
             last_answered = Instant::now();
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -161,13 +161,13 @@
         idle.for_each(|c| c.close_gracefully(reason));
     }
 
-    /// Closes each connection on which an answer is being sent, once the answer is written.
-    pub fn close_after_answers(&self) {
+    /// Closes each connection on which an answer is being sent, once the answer is written. One from which bytes of a
+    /// further request have been read, or may be read together with the end of a body, closes with its next answer.
+    pub fn close_after_answers(&self, reason: CloseReason) {
         let connections = self.connections.borrow();
-        connections
-            .values()
-            .filter(|c| c.phase() == Phase::Responding)
-            .for_each(|c| c.close_gracefully(CloseReason::Ending));
+        let answering = connections.values().filter(|c| c.is_answering() && !c.awaits_answer());
+        let last = answering.filter(|c| !c.meter.next_head_begun() && !c.draining_upload.get());
+        last.for_each(|c| c.close_gracefully(reason));
     }
 
     /// Accepts connections until `stop` is true. Connections in the listen queue would be reset when the listener is
@@ -263,6 +263,10 @@
                 sleep(WATCH_INTERVAL_WAITING).await;
             }
             drain_began = self.driver.draining().then(|| drain_began.unwrap_or_else(Instant::now));
+            if drain_began.is_some() {
+                // Answers whose head was written before the drain do not announce the end of their connection.
+                self.close_after_answers(CloseReason::Draining);
+            }
             if drain_began.is_some_and(|at| at.elapsed() >= DRAIN_GRACE) {
                 self.close_idle(NEXT_REQUEST_GRACE, CloseReason::Draining);
             }
--- a/node/tests/ops.rs
+++ b/node/tests/ops.rs
@@ -97,6 +97,42 @@
     }
 }
 
+/// Guards against a connection that stays in use through a drain because an answer was on its way when the drain began.
+#[test]
+fn a_drain_closes_connections_behind_answers_on_their_way() {
+    let piece = "z".repeat(25_000);
+    let chunk = format!("{:x}\r\n{piece}\r\n", piece.len());
+    let last_chunk = (0, LAST_CHUNK.to_owned());
+    let answers = [
+        ("content-length: 100000", vec![(300, piece); 4]),
+        ("transfer-encoding: chunked", [vec![(300, chunk); 4], vec![last_chunk]].concat()),
+    ];
+    for (field, mut pieces) in answers {
+        pieces[0].1 = format!("HTTP/1.1 200 OK\r\n{field}\r\n\r\n{}", pieces[0].1);
+        pieces[0].0 = 0;
+        let pieces = std::sync::Arc::new(pieces);
+        let backend = FakeServer::start(move |_| Reaction::Pieces(pieces.to_vec()));
+        let (gateway, _discovery, _counter) = gateway(&[&backend]);
+        let mut client = gateway.client();
+        client.send(&request("consulta", 1, 3_000));
+        client.wait_for_bytes();
+        assert_eq!(gateway.ops_request("PUT /drain").status(), 200);
+        // The client reads on once the drain is in force for each connection.
+        std::thread::sleep(Duration::from_millis(200));
+        assert_eq!(
+            client.read_answer().map(|answer| answer.status()),
+            Some(200),
+            "{field}: {}",
+            gateway.log()
+        );
+        // As clients do with the connections that they keep, it is used again at once.
+        client.send_ignoring_errors(&request("consulta", 1, 2_000));
+        let next = client.read_answer().map(|answer| answer.status());
+        assert_eq!(next, None, "{field}: the connection is still in use");
+        assert_eq!(backend.requests.try_iter().count(), 1, "{field}: the next request was sent on");
+    }
+}
+
 /// Guards against metrics that don't show the results of requests and attempts.
 #[test]
 fn the_figures_count_each_request_once() {
