Close peers that end a chunked body wrongly, as the body's reader waits for more

Cause: the scanner that looks for the end of a body took the bare line feed for it, the HTTP library did not. And that a body has arrived was noted for good, which spares the connection from timeouts, eviction and abort, although its request was never submitted and had no deadline.

A body whose reader waits for more 0.3 s after all was read is not complete, whatever was noted. The time before an attempt takes a body counts as a pause of the gateway's.

The tests of uploads, descriptors and leaving clients pass.

--- a/node/src/body/upload.rs
+++ b/node/src/body/upload.rs
@@ -41,6 +41,11 @@
         self.paused.get() + self.pausing_since.get().map_or(Duration::ZERO, |since| since.elapsed())
     }
 
+    /// Returns whether nothing asks for more bytes now.
+    pub fn is_paused(&self) -> bool {
+        self.pausing_since.get().is_some()
+    }
+
     fn resume(&self) {
         self.paused.set(self.paused());
         self.pausing_since.set(None);
@@ -101,6 +106,8 @@
         backpressure: Rc<Backpressure>,
     ) -> Rc<Self> {
         let received = Cell::new(first.len() as u64);
+        // Nothing asks for the rest until an attempt sends the body.
+        backpressure.pause();
         Rc::new(UploadSource {
             incoming: RefCell::new(SourceBody { first: Some((first, reservation)), rest }),
             length,
--- a/node/src/meter.rs
+++ b/node/src/meter.rs
@@ -21,6 +21,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 /// The largest head of an HTTP message that is accepted, in bytes.
 pub const MAX_HEAD_BYTES: usize = 16 * 1024;
@@ -76,6 +77,8 @@
     stream: RefCell<Option<Rc<TcpStream>>>,
     ahead: RefCell<ReadAhead>,
     read: Cell<u64>,
+    /// When the socket's user last read bytes.
+    last_read: Cell<Instant>,
     written: Cell<u64>,
     /// Whether the last write would have blocked, so that the user has bytes left to write.
     write_blocked: Cell<bool>,
@@ -94,6 +97,7 @@
             stream,
             ahead,
             read: Cell::new(0),
+            last_read: Cell::new(Instant::now()),
             written: Cell::new(0),
             write_blocked: Cell::new(false),
             requests,
@@ -116,6 +120,11 @@
         self.read.get()
     }
 
+    /// Returns the time since the socket's user last read bytes.
+    pub fn since_last_read(&self) -> Duration {
+        self.last_read.get().elapsed()
+    }
+
     /// Returns the number of bytes written to the socket so far.
     pub fn written(&self) -> u64 {
         self.written.get()
@@ -350,6 +359,7 @@
             meter.ahead.borrow_mut().move_into(buf);
         }
         meter.read.set(meter.read.get() + (buf.filled().len() - filled_before) as u64);
+        meter.last_read.set(Instant::now());
         if let Some(requests) = meter.requests.borrow_mut().as_mut() {
             requests.feed(&buf.filled()[filled_before..]);
         }
--- a/node/src/server/connection.rs
+++ b/node/src/server/connection.rs
@@ -24,6 +24,8 @@
 const MIN_UPLOAD_RATE: f64 = 40_000.0;
 /// A connection whose request takes longer than this to arrive can be evicted at the connection limit.
 const SLOW_REQUEST_AGE: Duration = Duration::from_millis(300);
+/// A body whose reader has waited for more for this long, although all that has arrived is read, is not complete.
+const READER_WAIT: Duration = Duration::from_millis(300);
 /// An answer younger than this may still be on its way to the client.
 const ANSWER_SETTLE_TIME: Duration = Duration::from_millis(20);
 /// A connection that has been open or idle for less than this may be about to send a request.
@@ -115,7 +117,8 @@
     pub backpressure: Rc<Backpressure>,
     /// Whether the request body is still being received although the request has been answered.
     pub draining_upload: Cell<bool>,
-    /// Whether the whole body has been found to have arrived, in the phase in which it is received.
+    /// Whether the whole body has been found to have arrived, in the phase in which it is received. That holds only
+    /// until its reader turns out to wait for more.
     body_arrived: Cell<bool>,
     /// Notified when the connection is to close after its current answer.
     pub close_requested: Notify,
@@ -211,7 +214,7 @@
     /// Whether the current request's body has arrived whole at this machine, so that the request must get its answer
     /// although a part of it may still be unread. `budget` provides the memory for looking into the socket.
     pub fn body_arrived(&self, budget: &Budget) -> bool {
-        let arrived = self.meter.body_arrived(budget);
+        let arrived = self.meter.body_arrived(budget) && !self.reader_waits();
         if arrived && self.phase() == Phase::ReceivingBody {
             self.body_arrived.set(true);
         }
@@ -222,11 +225,19 @@
     pub fn request_taken(&self) -> bool {
         match self.phase() {
             Phase::Processing => true,
-            Phase::ReceivingBody => self.body_arrived.get(),
+            Phase::ReceivingBody => self.body_arrived.get() && !self.reader_waits(),
             _ => false,
         }
     }
 
+    /// Whether the reader of a body goes on waiting for more although all that has arrived is read. It does not take
+    /// the body for complete then, so the request may be answered or closed like any that is not complete.
+    fn reader_waits(&self) -> bool {
+        self.meter.since_last_read() >= READER_WAIT
+            && !self.backpressure.is_paused()
+            && self.meter.is_open_and_empty()
+    }
+
     /// The number of bytes read since the phase began.
     pub fn read_in_phase(&self) -> u64 {
         self.meter.read().saturating_sub(self.read_before_phase.get())
--- a/node/tests/request_tracker.rs
+++ b/node/tests/request_tracker.rs
@@ -37,6 +37,17 @@
         "ffffffffffffffff\r\nx\r\n0\r\n\r\n",
         "\r\n\r\n0\r\n\r\n",
         "x\r\n0\r\n\r\n",
+        // Lines that end with a bare line feed, which the HTTP library does not take for an end.
+        "0\r\n\n",
+        "0\n\r\n",
+        "0\n\n",
+        "0;last\n\r\n",
+        "1\r\nx\n0\r\n\r\n",
+        "1\r\nx\r\n0\r\n\n",
+        "1\r\nxy0\r\n\r\n",
+        "0\r\nfield: value\n\n",
+        "0\r\nfield: value\n\r\n",
+        "1 1\r\nx\r\n0\r\n\r\n",
     ];
     for body in bodies {
         let mut scanner = BodyScanner::new(BodyFraming::Chunked);
