Keep requests in progress, connections and streamed bodies within the configured memory

What operators saw: a process with 32 MB and 1,024 descriptors passed its limit and was killed, again and again, while hundreds of clients wrote slowly, stopped in large requests, sent heads of many fields or read long answers slowly.

Cause: only buffered bodies went by the memory; requests went by descriptors, 486 clients, at 40 to 130 KB each. And the first 64 KiB of a long body left the budget while they still waited to be written.

Change: memory.rs divides the memory. A request reserves what its head and buffers take, and more while its body is streamed; where there is no room, stopped uploads make way, else it is refused (requests_full). Client connections are bounded by the memory too. Heads are not recorded twice, reads don't enlarge the HTTP library's buffers, first bytes stay reserved until they are written. Two processes of an upgrade have half of each budget.

an_answer_that_is_late expected a cut answer where a late one is answered 504 since the answer is held back. It checks that status now, and beside it an answer that begins earlier, which is cut as before. head_has_field is head_has_length in its tests: a head is scanned, not kept.

--- a/node/src/backend/pool.rs
+++ b/node/src/backend/pool.rs
@@ -90,7 +90,7 @@
             connect_timeout: Duration::from_micros(setup.decision_config.connect_timeout),
             load_fields: setup.decision_config.load_fields.clone(),
             max_units: setup.decision_config.max_units.max(1.0),
-            body_budget: Budget::new(setup.body_budget_bytes),
+            body_budget: Budget::new(setup.memory.response_bodies),
             disabled: RefCell::default(),
             attempts_written: Rc::default(),
             guard: Rc::default(),
@@ -189,6 +189,11 @@
         self.open.get()
     }
 
+    /// Sets whether another process of this gateway shares the memory for responses.
+    pub fn set_memory_shared(&self, shared: bool) {
+        self.body_budget.set_shared(shared);
+    }
+
     /// Sets the bound of open connections, closing idle ones to get below it. Connections in use stay open.
     pub fn set_max_connections(&self, max_connections: usize) {
         self.max_connections.set(max_connections);
--- a/node/src/body/budget.rs
+++ b/node/src/body/budget.rs
@@ -5,9 +5,13 @@
 
 /// A budget of bytes; clones share it.
 #[derive(Clone)]
-pub struct Budget {
-    available: Rc<Cell<usize>>,
-    total: usize,
+pub struct Budget(Rc<BudgetState>);
+
+struct BudgetState {
+    used: Cell<usize>,
+    configured: usize,
+    /// The bytes that may be used now.
+    total: Cell<usize>,
 }
 
 /// Bytes reserved from a [`Budget`], returned to it on drop.
@@ -19,25 +23,49 @@
 impl Budget {
     /// Creates a budget of `bytes`, all of them available.
     pub fn new(bytes: usize) -> Self {
-        Budget { available: Rc::new(Cell::new(bytes)), total: bytes }
+        Budget(Rc::new(BudgetState { used: Cell::new(0), configured: bytes, total: Cell::new(bytes) }))
+    }
+
+    /// Leaves all of the budget to this process, or half of it while another one shares it. What is reserved already
+    /// stays reserved.
+    pub fn set_shared(&self, shared: bool) {
+        let processes = if shared { 2 } else { 1 };
+        self.0.total.set(self.0.configured / processes);
+    }
+
+    /// Returns the number of bytes that are available.
+    fn available(&self) -> usize {
+        self.0.total.get().saturating_sub(self.0.used.get())
     }
 
     /// Reserves `bytes`; returns `None` if fewer are available.
     pub fn reserve(&self, bytes: usize) -> Option<Reservation> {
-        self.available.set(self.available.get().checked_sub(bytes)?);
+        if bytes > self.available() {
+            return None;
+        }
+        self.0.used.set(self.0.used.get() + bytes);
         Some(Reservation { budget: self.clone(), bytes })
     }
 
     /// Reserves `bytes` for a use less urgent than bodies; returns `None` if less than half of the budget would stay
     /// available to bodies.
     pub fn reserve_spare(&self, bytes: usize) -> Option<Reservation> {
-        self.reserve(bytes).filter(|_| self.available.get() >= self.total / 2)
+        self.reserve(bytes).filter(|_| self.available() >= self.0.total.get() / 2)
+    }
+}
+
+impl Reservation {
+    /// Adds `bytes` to the reservation; returns false if fewer are available.
+    pub fn extend(&mut self, bytes: usize) -> bool {
+        let Some(mut added) = self.budget.reserve(bytes) else { return false };
+        self.bytes += std::mem::take(&mut added.bytes);
+        true
     }
 }
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        let available = &self.budget.available;
-        available.set(available.get() + self.bytes);
+        let used = &self.budget.0.used;
+        used.set(used.get() - self.bytes);
     }
 }
--- a/node/src/body/download.rs
+++ b/node/src/body/download.rs
@@ -273,9 +273,10 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerInterruption>>> {
         if let Some(first) = self.first.take() {
-            self.reservation = None;
             return Poll::Ready(Some(Ok(Frame::data(first))));
         }
+        // More is asked for only when the first bytes have been written.
+        self.reservation = None;
         if let Poll::Ready(received) = self.poll_receive(cx) {
             return Poll::Ready(received.map(|data| data.map(Frame::data)));
         }
--- a/node/src/body/gather.rs
+++ b/node/src/body/gather.rs
@@ -1,11 +1,14 @@
 //! Buffering a body until it is complete or turns out to be a long one.
 
 use super::MAX_BUFFERED_BYTES;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use tokio::time::{timeout_at, Instant};
 
+/// By how much a buffer grows at least, in bytes.
+const GROWTH_BYTES: usize = 16 * 1024;
+
 /// The result of buffering a body.
 pub enum Gathered {
     /// The complete body.
@@ -20,7 +23,7 @@
 #[derive(Default)]
 pub(super) struct Buffer {
     first: Bytes,
-    joined: BytesMut,
+    joined: Vec<u8>,
 }
 
 impl Buffer {
@@ -36,9 +39,18 @@
             return;
         }
         if self.joined.is_empty() {
-            self.joined.extend_from_slice(&std::mem::take(&mut self.first));
+            let first = std::mem::take(&mut self.first);
+            self.append(&first);
+        }
+        self.append(&data);
+    }
+
+    /// Appends to the joined bytes. A buffer that doubles would hold up to twice the memory that is reserved.
+    fn append(&mut self, data: &[u8]) {
+        if self.joined.capacity() - self.joined.len() < data.len() {
+            self.joined.reserve_exact(data.len().max(GROWTH_BYTES));
         }
-        self.joined.extend_from_slice(&data);
+        self.joined.extend_from_slice(data);
     }
 
     /// Returns all bytes in one piece.
@@ -46,7 +58,7 @@
         if self.joined.is_empty() {
             self.first
         } else {
-            self.joined.freeze()
+            self.joined.into()
         }
     }
 }
--- a/node/src/body/upload.rs
+++ b/node/src/body/upload.rs
@@ -84,10 +84,23 @@
 }
 
 struct SourceBody {
-    first: Option<(Bytes, Option<Reservation>)>,
+    first: Bytes,
+    /// The memory reserved for `first`. It is released when more is asked for, as `first` has been written then.
+    reservation: Option<Reservation>,
     rest: Incoming,
 }
 
+impl SourceBody {
+    /// Takes the bytes received at first, unless they have been taken already.
+    fn take_first(&mut self) -> Option<Bytes> {
+        if self.first.is_empty() {
+            self.reservation = None;
+            return None;
+        }
+        Some(std::mem::take(&mut self.first))
+    }
+}
+
 struct WriteTarget {
     meter: Rc<Meter>,
     attempts_written: Rc<Cell<u64>>,
@@ -109,7 +122,7 @@
         // Nothing asks for the rest until an attempt sends the body.
         backpressure.pause();
         Rc::new(UploadSource {
-            incoming: RefCell::new(SourceBody { first: Some((first, reservation)), rest }),
+            incoming: RefCell::new(SourceBody { first, reservation, rest }),
             length,
             started: Cell::new(false),
             state: Cell::new(State::Open),
@@ -231,8 +244,8 @@
         }
         self.started.set(true);
         self.backpressure.resume();
-        let first = self.incoming.borrow_mut().first.take();
-        if let Some((first, _)) = first.filter(|(first, _)| !first.is_empty()) {
+        let first = self.incoming.borrow_mut().take_first();
+        if let Some(first) = first {
             return self.forward(first);
         }
         loop {
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -3,6 +3,7 @@
 
 use crate::endpoints::EndpointList;
 use crate::hash::fnv1a;
+use crate::memory::MemoryLimits;
 use caperwind::Config;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -26,8 +27,8 @@
 const COUNTER_CONNECTIONS: usize = 20;
 /// The number of connections to the counter for each of two processes.
 const COUNTER_CONNECTIONS_PAIRED: usize = 10;
-/// Request bodies may hold the memory limit divided by this number, and response bodies as much again.
-const BODY_MEMORY_DIVISOR: usize = 8;
+/// The memory limit in MB if the file states none: the least that a gateway gets.
+const MIN_MEMORY_MB: usize = 32;
 
 /// The configuration file.
 #[derive(Deserialize)]
@@ -84,6 +85,12 @@
         Ok(ConnectionLimits { clients: share, backends: share, counter })
     }
 
+    /// Returns these limits, with no more clients than `memory` allows.
+    fn within(self, memory: MemoryLimits) -> Self {
+        let clients = self.clients.min(memory.client_connections.max(MIN_CONNECTIONS));
+        ConnectionLimits { clients, ..self }
+    }
+
     /// Returns the limits that remain for this process beside the open connections of another. At least an eighth
     /// of each is left, since a process without connections makes no progress.
     pub fn left_by(self, other: OpenConnections) -> Self {
@@ -123,9 +130,8 @@
     pub handover_socket: Option<PathBuf>,
     /// The maximum number of concurrent connections of operators.
     pub max_operator_connections: usize,
-    /// The memory budget in bytes that all buffered request bodies share. Buffered response bodies share another
-    /// budget of this size.
-    pub body_budget_bytes: usize,
+    /// The memory for each purpose.
+    pub memory: MemoryLimits,
     /// How long a connection to a backend may be idle before this side closes it.
     pub backend_idle_timeout: Duration,
 }
@@ -178,7 +184,7 @@
         let idle_close = Duration::from_micros(idle_close.unwrap_or(15_000_000));
         let limits = file.limits.unwrap_or(Limits { sockets: None, memory_mb: None });
         let max_descriptors = limits.sockets.unwrap_or(MAX_DESCRIPTORS).min(process_descriptor_limit());
-        let body_budget_bytes = (limits.memory_mb.unwrap_or(32) << 20) / BODY_MEMORY_DIVISOR;
+        let memory = MemoryLimits::divide(limits.memory_mb.unwrap_or(MIN_MEMORY_MB) << 20);
         let counter = match file.counter {
             Some(text) => Some(text.parse().map_err(|e| format!("counter {text:?}: {e}"))?),
             None => None,
@@ -204,10 +210,12 @@
             seed: u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| seed_from_text(&file.seed)),
             initial_list: file.known,
             decision_config,
-            body_budget_bytes,
+            memory,
             max_descriptors,
-            solo_limits: ConnectionLimits::for_processes(max_descriptors, 1, COUNTER_CONNECTIONS)?,
-            paired_limits: ConnectionLimits::for_processes(max_descriptors, 2, COUNTER_CONNECTIONS_PAIRED)?,
+            solo_limits: ConnectionLimits::for_processes(max_descriptors, 1, COUNTER_CONNECTIONS)?
+                .within(memory),
+            paired_limits: ConnectionLimits::for_processes(max_descriptors, 2, COUNTER_CONNECTIONS_PAIRED)?
+                .within(memory),
             inherited_listener_fd,
             handover_socket,
             max_operator_connections: MAX_OPERATOR_CONNECTIONS,
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod hash;
 pub mod link;
 pub mod logging;
+pub mod memory;
 pub mod meter;
 pub mod ops;
 pub mod process;
--- a/node/src/meter.rs
+++ b/node/src/meter.rs
@@ -29,6 +29,9 @@
 /// of the connection behind them is detected. This is enough for a thousand pipelined requests. Bytes beyond it are
 /// discarded, and the connection is closed after the response.
 const MAX_READ_AHEAD_BYTES: usize = 256 * 1024;
+/// The most bytes that the socket's user gets at once. hyper enlarges a connection's buffers, of which several may wait for
+/// a slow receiver, when a read fills its first one of 8 KiB.
+const MAX_READ_BYTES: usize = 8 * 1024 - 1;
 /// The unit in which memory for reading ahead is reserved, in bytes.
 const READ_AHEAD_STEP_BYTES: usize = 16 * 1024;
 /// The number of discarded bytes, several times what the socket buffers hold, after which the client is taken to send
@@ -155,11 +158,11 @@
         *self.requests.borrow_mut() = Some(RequestTracker::default());
     }
 
-    /// Returns whether the head of the request that has been read last has the field `field`; `None` if that is not
-    /// known. This finds a `content-length` next to `transfer-encoding: chunked`, which hyper does not report although
-    /// a backend might go by it. To be called before [`Meter::begin_body`].
-    pub fn head_has_field(&self, field: &str) -> Option<bool> {
-        self.requests.borrow().as_ref()?.head_has_field(field)
+    /// Returns whether the head of the request that has been read last has a `content-length` field; `None` if that is
+    /// not known. This finds one next to `transfer-encoding: chunked`, which hyper does not report although a backend
+    /// might go by it. To be called before [`Meter::begin_body`].
+    pub fn head_has_length(&self) -> Option<bool> {
+        self.requests.borrow().as_ref()?.head_has_length()
     }
 
     /// Returns whether bytes of a further request have been read.
@@ -354,7 +357,10 @@
                 return Poll::Pending;
             }
             let stream = meter.stream()?;
-            ready!(poll_io(|| stream.poll_read_ready(cx), || try_read(&stream, &mut *buf)))?;
+            ready!(poll_io(
+                || stream.poll_read_ready(cx),
+                || try_read(&stream, (&mut *buf).limit(MAX_READ_BYTES))
+            ))?;
         } else {
             meter.ahead.borrow_mut().move_into(buf);
         }
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -6,7 +6,7 @@
 use crate::counter::Counter;
 use crate::handover::{Handover, Message};
 use crate::reasons::CloseReason;
-use crate::server::Server;
+use crate::server::{Budgets, Server};
 use crate::supervisor::Supervisor;
 use crate::{discovery, driver, endpoints, figures, handover, ops, supervisor};
 use std::net::SocketAddr;
@@ -93,8 +93,11 @@
         async move { timers.run_timers().await }
     });
 
-    let body_budget = Budget::new(setup.body_budget_bytes);
-    let server = Server::new(driver.clone(), metrics.clone(), solo_limits.clients, body_budget);
+    let budgets = Budgets {
+        bodies: Budget::new(setup.memory.request_bodies),
+        requests: Budget::new(setup.memory.requests),
+    };
+    let server = Server::new(driver.clone(), metrics.clone(), solo_limits.clients, budgets);
     let handover = Handover::join(driver.clone(), setup.handover_socket).await;
     if let Some(address) = setup.ops {
         let ops = ops::OperatorServer::new(
@@ -262,8 +265,8 @@
     }
 }
 
-/// Keeps the connections of this process within the limits that all processes of this gateway share, and reports
-/// its open connections to the other process.
+/// Keeps the connections and the memory of this process within the limits that all processes of this gateway share, and
+/// reports its open connections to the other process.
 async fn share_connection_limits(
     solo_limits: ConnectionLimits,
     paired_limits: ConnectionLimits,
@@ -279,6 +282,8 @@
         server.set_max_connections(limits.clients);
         pool.set_max_connections(limits.backends);
         counter.set_max_connections(limits.counter);
+        server.set_memory_shared(other.is_some());
+        pool.set_memory_shared(other.is_some());
         let own = OpenConnections { clients: server.connection_count(), backends: pool.open_connections() };
         if other.is_some() && own != last_sent {
             handover.broadcast(&Message::Held(own));
--- a/node/src/reasons.rs
+++ b/node/src/reasons.rs
@@ -15,6 +15,8 @@
     TooManyOpen,
     /// The memory budget for bodies is used up.
     BodiesFull,
+    /// The memory budget for requests is used up.
+    RequestsFull,
 }
 
 impl RefusalCause {
@@ -23,6 +25,7 @@
             RefusalCause::Decided(reason) => reason.name(),
             RefusalCause::TooManyOpen => "too_many_open",
             RefusalCause::BodiesFull => "bodies_full",
+            RefusalCause::RequestsFull => "requests_full",
         }
     }
 }
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -5,7 +5,7 @@
 mod transfer;
 mod upload_watch;
 
-use crate::body::budget::Budget;
+use crate::body::budget::{Budget, Reservation};
 use crate::driver::Driver;
 use crate::figures::Metrics;
 use crate::guard::Violation;
@@ -48,9 +48,21 @@
 /// How often a new connection waits for room, for [`ROOM_WAIT`] each time. In total, this is longer than the time
 /// after which a connection can be evicted for a slow request head.
 const MAX_ROOM_WAITS: u32 = 40;
-/// How long a new connection waits before it tries again to evict another. Also the pause after a failed accept.
+/// How often a request waits for memory, for [`ROOM_WAIT`] each time.
+const MAX_MEMORY_WAITS: u32 = 3;
+/// How long a new connection or a request waits before it tries again to evict another. Also the pause after a failed
+/// accept.
 const ROOM_WAIT: Duration = Duration::from_millis(10);
 
+/// The memory that requests of clients may hold.
+#[derive(Clone)]
+pub struct Budgets {
+    /// For buffered request bodies.
+    pub bodies: Budget,
+    /// For requests in progress, apart from their bodies.
+    pub requests: Budget,
+}
+
 /// The server for client connections.
 pub struct Server {
     driver: Driver,
@@ -60,7 +72,9 @@
     accepting: Cell<bool>,
     /// Whether another process of this gateway serves and goes on after this one.
     successor_serving: Cell<bool>,
-    body_budget: Budget,
+    budgets: Budgets,
+    /// When a connection was last evicted because the memory for requests was used up.
+    last_memory_eviction: Cell<Option<Instant>>,
     connections: RefCell<BTreeMap<u64, Rc<ClientConnection>>>,
     next_id: Cell<u64>,
     /// Notified when a connection is closed.
@@ -91,14 +105,8 @@
 }
 
 impl Server {
-    /// Creates a server that holds at most `max_connections` connections and takes the memory for bodies from
-    /// `body_budget`.
-    pub fn new(
-        driver: Driver,
-        metrics: Rc<Metrics>,
-        max_connections: usize,
-        body_budget: Budget,
-    ) -> Rc<Self> {
+    /// Creates a server that holds at most `max_connections` connections and takes its memory from `budgets`.
+    pub fn new(driver: Driver, metrics: Rc<Metrics>, max_connections: usize, budgets: Budgets) -> Rc<Self> {
         let (connections, next_id) = (RefCell::default(), Cell::new(0));
         let (connection_closed, request_waiting) = (Notify::new(), Notify::new());
         let (max_connections, accepting, successor_serving) =
@@ -109,7 +117,8 @@
             max_connections,
             accepting,
             successor_serving,
-            body_budget,
+            budgets,
+            last_memory_eviction: Cell::new(None),
             connections,
             next_id,
             connection_closed,
@@ -127,6 +136,12 @@
         self.max_connections.set(max_connections);
     }
 
+    /// Sets whether another process of this gateway shares the memory.
+    pub fn set_memory_shared(&self, shared: bool) {
+        self.budgets.bodies.set_shared(shared);
+        self.budgets.requests.set_shared(shared);
+    }
+
     /// Whether an answer is being sent on any connection.
     pub fn is_answering(&self) -> bool {
         self.connections.borrow().values().any(|c| c.is_answering())
@@ -238,7 +253,7 @@
         let evictable = candidates.into_iter().find(|(rank, _, c)| match rank {
             EvictionRank::SlowHead => true,
             // Its backend rather than its client may be slow.
-            EvictionRank::SlowBody => !c.body_arrived(&self.body_budget),
+            EvictionRank::SlowBody => !c.body_arrived(&self.budgets.bodies),
             EvictionRank::Silent | EvictionRank::Idle => c.nothing_received(),
         });
         let fresh_count = connections.values().filter(|c| c.is_fresh(now)).count();
@@ -254,6 +269,34 @@
         }
     }
 
+    /// Reserves the memory for a request. If it is used up, requests whose clients have stopped sending their bodies make
+    /// way. Returns `None` if there is no room all the same.
+    async fn reserve_request(&self, bytes: usize) -> Option<Reservation> {
+        for _ in 0..MAX_MEMORY_WAITS {
+            if let Some(reservation) = self.budgets.requests.reserve(bytes) {
+                return Some(reservation);
+            }
+            self.evict_stopped_upload();
+            sleep(ROOM_WAIT).await;
+        }
+        self.budgets.requests.reserve(bytes)
+    }
+
+    /// Evicts the connection whose client has sent nothing of its request's body for the longest time, if there is one.
+    fn evict_stopped_upload(&self) {
+        if self.last_memory_eviction.get().is_some_and(|at| at.elapsed() < ROOM_WAIT) {
+            return;
+        }
+        self.last_memory_eviction.set(Some(Instant::now()));
+        let connections = self.connections.borrow();
+        let stopped = connections.values().filter(|c| !c.evicted.get() && c.upload_stopped());
+        let longest = stopped.max_by_key(|c| c.meter.since_last_data());
+        if let Some(client) = longest.filter(|c| !c.body_arrived(&self.budgets.bodies)) {
+            client.evicted.set(true);
+            client.abort(AbortReason::MadeWay);
+        }
+    }
+
     /// Checks all connections periodically and closes those that exceed a timeout. Never returns.
     pub async fn watch_connections(self: Rc<Self>) {
         let mut drain_began: Option<Instant> = None;
@@ -363,7 +406,7 @@
         poll_fn(|cx| match client.phase() {
             _ if !client.awaits_answer() => Poll::Pending,
             _ if closed.as_mut().poll(cx).is_ready() => Poll::Ready(()),
-            phase => client.meter.poll_read_ahead(cx, &self.body_budget, phase == Phase::Processing),
+            phase => client.meter.poll_read_ahead(cx, &self.budgets.bodies, phase == Phase::Processing),
         })
         .await
     }
--- a/node/src/server/connection.rs
+++ b/node/src/server/connection.rs
@@ -310,6 +310,13 @@
         self.phase() == Phase::New && self.nothing_read() && now - self.phase_began.get() < NEXT_REQUEST_GRACE
     }
 
+    /// Whether the client has stopped in the middle of a request's body.
+    pub fn upload_stopped(&self) -> bool {
+        self.phase() == Phase::ReceivingBody
+            && self.phase_age() >= SLOW_REQUEST_AGE
+            && self.meter.since_last_data() >= SLOW_REQUEST_AGE
+    }
+
     /// The eviction rank; `None` if the connection must not be evicted.
     pub fn eviction_rank(&self, now: Instant) -> Option<EvictionRank> {
         let phase_age = now - self.phase_began.get();
--- a/node/src/server/handler.rs
+++ b/node/src/server/handler.rs
@@ -8,6 +8,7 @@
 use crate::backend::message::strip_hop_by_hop;
 use crate::backend::{Message, Payload};
 use crate::body::answer_limit::LATE_GRACE;
+use crate::body::budget::Reservation;
 use crate::body::download::Download;
 use crate::body::gather::{gather, Gathered};
 use crate::body::interruption::{AnswerInterruption, UploadInterruption};
@@ -16,12 +17,13 @@
 use crate::body::MAX_BUFFERED_BYTES;
 use crate::driver::{PendingReply, Reply};
 use crate::figures::{RequestInProgress, RequestOutcome};
+use crate::memory::{request_bytes, STREAMED_BODY_BYTES};
 use crate::reasons::RefusalCause;
 use bytes::Bytes;
-use caperwind::{ClassIndex, Micros};
+use caperwind::Micros;
 use http_body_util::{Either, Full};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderValue, CONNECTION, CONTENT_LENGTH, RETRY_AFTER};
+use hyper::header::{HeaderValue, CONNECTION, RETRY_AFTER};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use std::cell::Cell;
@@ -32,6 +34,13 @@
 /// An answer to a client.
 pub(super) type Answer = Response<Either<Full<Bytes>, StreamedAnswer>>;
 
+/// A request in progress.
+struct CurrentRequest {
+    label: RequestLabel,
+    /// The memory reserved for it.
+    memory: Reservation,
+}
+
 /// A received request body.
 enum Received {
     /// The whole body is in memory.
@@ -85,7 +94,7 @@
         }
         let framing = body_framing(request.body());
         let chunked = framing == BodyFraming::Chunked;
-        let two_lengths = chunked && client.meter.head_has_field(CONTENT_LENGTH.as_str()) != Some(false);
+        let two_lengths = chunked && client.meter.head_has_length() != Some(false);
         client.meter.begin_body(framing);
         if request.uri().path() == "/healthz" {
             return self.health_check(request.method());
@@ -106,7 +115,13 @@
         self.request_waiting.notify_one();
         let label = RequestLabel { class: metadata.class, correlation_id: metadata.correlation_id.clone() };
         let mut upload = UploadMonitor::new(client.clone(), self.metrics.clone(), label.clone());
-        let received = match self.receive_body(&head, body, length, label.class, client, &mut upload).await {
+        let Some(memory) = self.reserve_request(request_bytes(&head)).await else {
+            let (status, text) =
+                self.refuse_for_memory(&label, &body, &mut upload, RefusalCause::RequestsFull);
+            return closing_answer(status, text);
+        };
+        let mut current = CurrentRequest { label, memory };
+        let received = match self.receive_body(&head, body, length, &mut current, client, &mut upload).await {
             Ok(received) => received,
             Err((status, text)) => return closing_answer(status, text),
         };
@@ -118,13 +133,13 @@
                     self.submit(build_message(head, payload, metadata.time_limit, client), metadata);
                 match pending {
                     Ok(mut pending) => {
-                        self.build_answer(pending.wait().await, label, in_progress, client).await
+                        self.build_answer(pending.wait().await, current, in_progress, client).await
                     }
                     Err((status, text)) => closing_answer(status, text),
                 }
             }
             Received::Partial(source) => {
-                self.answer_while_uploading(head, source, metadata, label, upload, client).await
+                self.answer_while_uploading(head, source, metadata, current, upload, client).await
             }
         }
     }
@@ -138,6 +153,23 @@
         }
     }
 
+    /// Counts a request as refused for want of memory. Returns the answer to send.
+    fn refuse_for_memory(
+        &self,
+        label: &RequestLabel,
+        body: &Incoming,
+        upload: &mut UploadMonitor,
+        cause: RefusalCause,
+    ) -> Rejection {
+        self.metrics.record_request(label.class, RequestOutcome::Dropped);
+        self.metrics.reasons.record_refusal(&label.correlation_id, cause);
+        match body.is_end_stream() {
+            true => upload.complete(),
+            false => upload.interrupt(UploadInterruption::AnsweredEarly),
+        }
+        (StatusCode::SERVICE_UNAVAILABLE, "too much in hand\n")
+    }
+
     /// Receives a small body completely, and the beginning of a larger one. `length` is the announced length in bytes,
     /// `None` for a chunked body. Returns the answer to send on failure.
     async fn receive_body(
@@ -145,24 +177,15 @@
         head: &Parts,
         body: Incoming,
         length: Option<u64>,
-        class: ClassIndex,
+        current: &mut CurrentRequest,
         client: &Rc<ClientConnection>,
         upload: &mut UploadMonitor,
     ) -> Result<Received, Rejection> {
         let small_length =
             length.filter(|n| *n <= MAX_BUFFERED_BYTES as u64).and_then(|n| usize::try_from(n).ok());
-        let reservation = self.body_budget.reserve(small_length.unwrap_or(MAX_BUFFERED_BYTES));
+        let reservation = self.budgets.bodies.reserve(small_length.unwrap_or(MAX_BUFFERED_BYTES));
         if reservation.is_none() && small_length.is_some() {
-            self.metrics.record_request(class, RequestOutcome::Dropped);
-            let correlation_id = client.requests().1;
-            self.metrics
-                .reasons
-                .record_refusal(correlation_id.as_deref().unwrap_or_default(), RefusalCause::BodiesFull);
-            match body.is_end_stream() {
-                true => upload.complete(),
-                false => upload.interrupt(UploadInterruption::AnsweredEarly),
-            }
-            return Err((StatusCode::SERVICE_UNAVAILABLE, "too much in hand\n"));
+            return Err(self.refuse_for_memory(&current.label, &body, upload, RefusalCause::BodiesFull));
         }
         let gathered = match &reservation {
             Some(_) => gather(body, None).await,
@@ -182,6 +205,9 @@
                 upload.interrupt(UploadInterruption::AnsweredEarly);
                 Err((StatusCode::BAD_REQUEST, "GET takes no body\n"))
             }
+            (Gathered::Partial(_, rest), _) if !current.memory.extend(STREAMED_BODY_BYTES) => {
+                Err(self.refuse_for_memory(&current.label, &rest, upload, RefusalCause::RequestsFull))
+            }
             (Gathered::Partial(first, rest), reservation) => {
                 let backpressure = client.backpressure.clone();
                 Ok(Received::Partial(UploadSource::new(first, reservation, rest, length, backpressure)))
@@ -208,7 +234,7 @@
         head: Parts,
         source: Rc<UploadSource>,
         metadata: RequestMetadata,
-        request: RequestLabel,
+        current: CurrentRequest,
         mut upload: UploadMonitor,
         client: &Rc<ClientConnection>,
     ) -> Answer {
@@ -221,7 +247,7 @@
                 return closing_answer(status, text);
             }
         };
-        let mut watch = UploadWatch::new(client, source.clone(), self.body_budget.clone(), time_limit);
+        let mut watch = UploadWatch::new(client, source.clone(), self.budgets.bodies.clone(), time_limit);
         // Counted as in progress from when the whole request has arrived, or from an earlier answer on.
         let mut in_progress = None;
         let early_reply = loop {
@@ -248,11 +274,11 @@
             upload.complete();
             client.enter_phase(Phase::Processing);
             self.driver.body_received(&pending, remaining_time(time_limit, client));
-            return self.build_answer(pending.wait().await, request, in_progress, client).await;
+            return self.build_answer(pending.wait().await, current, in_progress, client).await;
         };
         upload.interrupt(UploadInterruption::AnsweredEarly);
         self.drain_upload(source, pending, time_limit, client);
-        self.build_answer(reply, request, in_progress, client).await
+        self.build_answer(reply, current, in_progress, client).await
     }
 
     /// Reads the rest of a body whose request has been answered early, in a task of its own. The time limit of an
@@ -265,7 +291,7 @@
         client: &Rc<ClientConnection>,
     ) {
         client.draining_upload.set(true);
-        let mut watch = UploadWatch::new(client, source.clone(), self.body_budget.clone(), time_limit);
+        let mut watch = UploadWatch::new(client, source.clone(), self.budgets.bodies.clone(), time_limit);
         // A weak reference, as a strong one would keep the socket open after the connection has ended.
         let (driver, client) = (self.driver.clone(), Rc::downgrade(client));
         let time_left = move |client: &Weak<ClientConnection>| {
@@ -309,14 +335,16 @@
         closing_answer(StatusCode::GATEWAY_TIMEOUT, "failed\n")
     }
 
-    /// Builds the answer to the client from the final result of its request, and counts the result.
+    /// Builds the answer to the client from the final result of its request, and counts the result. An answer that is
+    /// streamed keeps the `memory` of its request.
     async fn build_answer(
         &self,
         reply: Reply,
-        request: RequestLabel,
+        current: CurrentRequest,
         in_progress: RequestInProgress,
         client: &Rc<ClientConnection>,
     ) -> Answer {
+        let CurrentRequest { label: request, memory } = current;
         match reply {
             Reply::Served(answer) => {
                 let (head, body) = answer.into_parts();
@@ -330,7 +358,14 @@
                             return self.answer_interrupted(&request, &download, reason);
                         }
                         let (client, metrics) = (client.clone(), self.metrics.clone());
-                        Either::Right(StreamedAnswer::new(download, client, metrics, request, in_progress))
+                        Either::Right(StreamedAnswer::new(
+                            download,
+                            client,
+                            metrics,
+                            request,
+                            in_progress,
+                            memory,
+                        ))
                     }
                 };
                 Response::from_parts(head, body)
--- a/node/src/server/transfer.rs
+++ b/node/src/server/transfer.rs
@@ -1,6 +1,7 @@
 //! Bodies in transfer: counts how each one ends, and logs those that are interrupted.
 
 use super::connection::{ClientConnection, Phase};
+use crate::body::budget::Reservation;
 use crate::body::download::{Download, Progress};
 use crate::body::interruption::{AnswerInterruption, UploadInterruption};
 use crate::figures::{Metrics, RequestInProgress, RequestOutcome};
@@ -49,6 +50,8 @@
     request: RequestLabel,
     /// The request in progress; `None` once its outcome has been counted.
     in_progress: Option<RequestInProgress>,
+    /// The memory reserved for the request.
+    _memory: Reservation,
 }
 
 impl StreamedAnswer {
@@ -59,9 +62,10 @@
         metrics: Rc<Metrics>,
         request: RequestLabel,
         in_progress: RequestInProgress,
+        memory: Reservation,
     ) -> Self {
         client.answer_progress.set(Some(download.progress()));
-        StreamedAnswer { download, client, metrics, request, in_progress: Some(in_progress) }
+        StreamedAnswer { download, client, metrics, request, in_progress: Some(in_progress), _memory: memory }
     }
 
     /// Counts the request as passed.
--- a/node/tests/interruptions.rs
+++ b/node/tests/interruptions.rs
@@ -70,15 +70,19 @@
     fixture.expect_interruption("answers_interrupted", "too_long");
 }
 
+/// One that begins shortly before its deadline is answered as failed; of one that begins earlier, its client has got a
+/// part already.
 #[test]
 fn an_answer_that_is_late() {
     let text = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n";
-    let backend = FakeServer::start(move |_| Reaction::Answer(text.to_owned()));
-    let fixture = start_fixture(&backend);
-    let mut client = fixture.gateway.client();
-    client.send(&request("consulta", 7, 600));
-    assert!(client.read_answer().is_none());
-    fixture.expect_interruption("answers_interrupted", "late");
+    for (client_wait_ms, status) in [(600, Some(504)), (2_400, None)] {
+        let backend = FakeServer::start(move |_| Reaction::Answer(text.to_owned()));
+        let fixture = start_fixture(&backend);
+        let mut client = fixture.gateway.client();
+        client.send(&request("consulta", 7, client_wait_ms));
+        assert_eq!(client.read_answer().map(|answer| answer.status()), status);
+        fixture.expect_interruption("answers_interrupted", "late");
+    }
 }
 
 #[test]
--- /dev/null
+++ b/node/tests/memory.rs
@@ -0,0 +1,150 @@
+//! The memory of a process with the least memory and the most descriptors that a gateway gets, filled with hundreds of
+//! clients that hold as much as they can.
+
+mod common;
+
+use common::*;
+use socket2::{Domain, Socket, Type};
+use std::io::{ErrorKind, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+const MEMORY_MB: u32 = 32;
+const SOCKETS: u32 = 1024;
+/// Hundreds of clients: nearly all that the descriptors are for.
+const CLIENTS: usize = 480;
+/// How often the clients come anew.
+const WAVES: usize = 2;
+/// How long a wave of clients stays: longer than any request may take to be received.
+const WAVE_TIME: Duration = Duration::from_secs(3);
+const LONG_ANSWER_BYTES: usize = 4 << 20;
+
+/// What the clients send.
+type Behaviour = fn(usize) -> Vec<u8>;
+
+/// The head of a request with a long body and with this many further fields, each with a value of this length.
+fn long_request_head(fields: usize, value_bytes: usize) -> String {
+    let value = "v".repeat(value_bytes);
+    let fields: String = (0..fields).map(|n| format!("a{n}:{value}\r\n")).collect();
+    upload_head("orden-nueva", 4_000, Some(1_000_000)).replace("\r\n\r\n", &format!("\r\n{fields}\r\n"))
+}
+
+/// A long request of which this many bytes of the body are sent.
+fn stopped_body(head: String, bytes: usize) -> Vec<u8> {
+    [head.into_bytes(), vec![b'x'; bytes]].concat()
+}
+
+const BEHAVIOURS: [(&str, Behaviour); 6] = [
+    ("stop half way through a large request", |n| {
+        let sent = [2_150, 8_150, 32_156, 65_687, 130_200, 261_277, 500_000];
+        stopped_body(long_request_head(0, 0), sent[n % sent.len()])
+    }),
+    ("stop behind a head of many short fields", |_| stopped_body(long_request_head(85, 1), 500)),
+    ("stop behind a head of many fields", |_| stopped_body(long_request_head(85, 150), 8_000)),
+    ("stop in a head", |_| {
+        let head = long_request_head(85, 170);
+        head.trim_end().as_bytes().to_vec()
+    }),
+    ("send many requests at once and read nothing", |_| {
+        (0..50).map(|n| request("consulta", n, 2_000)).collect::<String>().into_bytes()
+    }),
+    ("read nothing of a long answer", |n| request("modificar", n as u64 % 50, 2_000).into_bytes()),
+];
+
+/// Connects a client with a small receive buffer, which sends as much of `bytes` as its socket takes.
+fn start_client(gateway: &Gateway, bytes: &[u8]) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(4_096).expect("an option");
+    socket.connect(&gateway.address.into()).expect("the gateway listens");
+    let mut stream = TcpStream::from(socket);
+    stream.set_nonblocking(true).expect("an option");
+    let (mut sent, began) = (0, Instant::now());
+    while sent < bytes.len() && began.elapsed() < Duration::from_millis(2) {
+        match stream.write(&bytes[sent..]) {
+            Ok(n) => sent += n,
+            Err(e) if e.kind() == ErrorKind::WouldBlock => std::thread::yield_now(),
+            Err(_) => break,
+        }
+    }
+    stream
+}
+
+/// Starts a gateway with these entries of discovery's list.
+fn fixture_with(entries: Vec<String>) -> Fixture {
+    let options = GatewayOptions { memory_mb: MEMORY_MB, sockets: SOCKETS, ..GatewayOptions::default() };
+    Fixture::new(&options, entries, fake_counter())
+}
+
+/// Starts a gateway, and a backend that sends a long answer to requests of the class `modificar`.
+fn fixture() -> (Fixture, FakeServer) {
+    let long_answer = answer("200 OK", "", &"z".repeat(LONG_ANSWER_BYTES));
+    let backend = FakeServer::start(move |request| match request.path().contains("modificar") {
+        true => Reaction::Answer(long_answer.clone()),
+        false => ok("x"),
+    });
+    (fixture_with(serving_entries(&[&backend])), backend)
+}
+
+/// Listens on a free port, and leaves the connections that the kernel accepts alone.
+fn hanging_backend() -> TcpListener {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    let address: SocketAddr = format!("{}:0", unique_loopback_ip()).parse().expect("an address");
+    socket.set_recv_buffer_size(4_096).expect("an option");
+    socket.bind(&address.into()).expect("a free port");
+    socket.listen(CLIENTS as i32).expect("a listener");
+    socket.into()
+}
+
+/// Guards against a process that is killed because clients make it hold more than its memory: slow or stopped ones, or
+/// such that read nothing. A proper request is served all the while.
+#[test]
+fn hundreds_of_clients_fit_the_least_memory() {
+    let _exclusive = exclusive_test_lock();
+    for (name, behaviour) in BEHAVIOURS {
+        let (fixture, _backend) = fixture();
+        let gateway = &fixture.gateway;
+        let mut peaks = Vec::new();
+        for _ in 0..WAVES {
+            let _clients: Vec<_> = (0..CLIENTS).map(|n| start_client(gateway, &behaviour(n))).collect();
+            std::thread::sleep(WAVE_TIME);
+            peaks.push(gateway.peak_memory_mb());
+        }
+        let answer = gateway.client().ask(&request("consulta", 1, 2_000));
+        assert_eq!(answer.status(), 200, "{name}");
+        println!("{name}: {peaks:?} MB");
+        assert!(peaks.iter().all(|peak| *peak < u64::from(MEMORY_MB)), "clients that {name}: {peaks:?} MB");
+    }
+}
+
+/// The same with all behaviours at once.
+#[test]
+fn clients_of_all_kinds_fit_the_least_memory() {
+    let _exclusive = exclusive_test_lock();
+    let (fixture, _backend) = fixture();
+    for _ in 0..WAVES {
+        let client = |n: usize| start_client(&fixture.gateway, &BEHAVIOURS[n % BEHAVIOURS.len()].1(n));
+        let _clients: Vec<_> = (0..CLIENTS).map(client).collect();
+        std::thread::sleep(WAVE_TIME);
+        let peak = fixture.gateway.peak_memory_mb();
+        assert!(peak < u64::from(MEMORY_MB), "{peak} MB");
+    }
+}
+
+/// The same for large requests whose backends take nothing of them.
+#[test]
+fn large_requests_at_hanging_backends_fit_the_least_memory() {
+    let _exclusive = exclusive_test_lock();
+    let backends = [hanging_backend(), hanging_backend(), hanging_backend(), hanging_backend()];
+    let entries = backends
+        .iter()
+        .enumerate()
+        .map(|(n, backend)| entry(&format!("s-{n}"), backend.local_addr().expect("an address"), "SERVING"));
+    let fixture = fixture_with(entries.collect());
+    for _ in 0..WAVES {
+        let request = stopped_body(upload_head("orden-nueva", 4_000, Some(300_000)), 300_000);
+        let _clients: Vec<_> = (0..CLIENTS).map(|_| start_client(&fixture.gateway, &request)).collect();
+        std::thread::sleep(WAVE_TIME);
+        let peak = fixture.gateway.peak_memory_mb();
+        assert!(peak < u64::from(MEMORY_MB), "{peak} MB");
+    }
+}
--- a/node/tests/pool.rs
+++ b/node/tests/pool.rs
@@ -8,6 +8,7 @@
 use badgerglade::body::budget::Budget;
 use badgerglade::body::download::Deadline;
 use badgerglade::config::{ConnectionLimits, Setup};
+use badgerglade::memory::MemoryLimits;
 use badgerglade::meter::Meter;
 use caperwind::{BackendId, LoadField, Outcome};
 use common::*;
@@ -52,7 +53,7 @@
         inherited_listener_fd: None,
         handover_socket: None,
         max_operator_connections: 1,
-        body_budget_bytes: 1 << 20,
+        memory: MemoryLimits::divide(8 << 20),
         backend_idle_timeout: TEST_TIMEOUT,
     });
     pool.update_backend(ID, backend, true, false);
--- a/node/tests/request_tracker.rs
+++ b/node/tests/request_tracker.rs
@@ -78,14 +78,14 @@
             let mut pieces = text.as_bytes().chunks(piece_bytes);
             let mut read = 0;
             for piece in pieces.by_ref() {
-                assert!(tracker.head_has_field("content-length").is_none(), "{head:?} {piece_bytes}");
+                assert!(tracker.head_has_length().is_none(), "{head:?} {piece_bytes}");
                 tracker.feed(piece);
                 read += piece.len();
                 if read >= head.len() {
                     break;
                 }
             }
-            assert_eq!(tracker.head_has_field("content-length"), Some(has_length), "{head:?} {piece_bytes}");
+            assert_eq!(tracker.head_has_length(), Some(has_length), "{head:?} {piece_bytes}");
             tracker.begin_body(framing);
             pieces.for_each(|piece| tracker.feed(piece));
             assert!(tracker.body().is_some_and(|body| body.is_complete()), "{head:?} {piece_bytes}");
