Keep no more customers than the configured memory holds

What operators saw: requests under ever new names made memory grow without end.

Cause: the decision module kept every customer of the last 15 s, and those of a plan with a hard ceiling for ever, without a bound.

Change: src/retention.rs keeps at most as many customers as the memory allows (2,048 with 32 MB). Settled customers make way, those that came in one window only first. Customers with a ceiling may be forgotten once it is full again. Where none may, a new customer's request is refused (too_many_customers). Connections count 23 KiB each, so 356 with 32 MB.

--- a/benchlink/src/settings.rs
+++ b/benchlink/src/settings.rs
@@ -226,5 +226,6 @@
         warm_up: invariants.warm_up_us,
         collapse_multiple: invariants.fall_multiple,
         collapse_after: invariants.tip_after_us,
+        max_customers: usize::MAX,
     })
 }
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -178,13 +178,14 @@
     pub fn from_env() -> Result<Self, String> {
         let file: ConfigFile = read_config_file()?;
         let settings = serde_json::to_vec(&file.settings).map_err(|e| e.to_string())?;
-        let decision_config = caperwind_benchlink::parse_settings(&settings)?;
+        let mut decision_config = caperwind_benchlink::parse_settings(&settings)?;
         decision_config.validate().map_err(|e| e.to_string())?;
         let idle_close = file.settings.pointer("/policy_limits/idle_close_us").and_then(|v| v.as_u64());
         let idle_close = Duration::from_micros(idle_close.unwrap_or(15_000_000));
         let limits = file.limits.unwrap_or(Limits { sockets: None, memory_mb: None });
         let max_descriptors = limits.sockets.unwrap_or(MAX_DESCRIPTORS).min(process_descriptor_limit());
         let memory = MemoryLimits::divide(limits.memory_mb.unwrap_or(MIN_MEMORY_MB) << 20);
+        decision_config.max_customers = memory.customers;
         let counter = match file.counter {
             Some(text) => Some(text.parse().map_err(|e| format!("counter {text:?}: {e}"))?),
             None => None,
--- a/node/src/memory.rs
+++ b/node/src/memory.rs
@@ -10,9 +10,9 @@
 /// Connections of clients may hold the memory divided by this number.
 const CONNECTION_DIVISOR: usize = 4;
 /// The customers that are known may hold the memory divided by this number.
-const CUSTOMER_DIVISOR: usize = 8;
+const CUSTOMER_DIVISOR: usize = 16;
 /// What a client's connection holds at most before a request is taken from it: buffers for a whole head and for writing.
-const CONNECTION_BYTES: usize = 20 * 1024;
+const CONNECTION_BYTES: usize = 23 * 1024;
 /// What a customer takes with its entries in all tables.
 const CUSTOMER_BYTES: usize = 1024;
 /// What a request holds apart from its header fields: buffers for reading on and for passing on, here and on the connection
--- a/node/tests/memory.rs
+++ b/node/tests/memory.rs
@@ -7,6 +7,7 @@
 use socket2::{Domain, Socket, Type};
 use std::io::{ErrorKind, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 const MEMORY_MB: u32 = 32;
@@ -34,7 +35,13 @@
     [head.into_bytes(), vec![b'x'; bytes]].concat()
 }
 
-const BEHAVIOURS: [(&str, Behaviour); 6] = [
+/// A customer that no request has named before.
+fn new_customer() -> u64 {
+    static NEXT: AtomicU64 = AtomicU64::new(1_000);
+    NEXT.fetch_add(1, Ordering::Relaxed)
+}
+
+const BEHAVIOURS: [(&str, Behaviour); 7] = [
     ("stop half way through a large request", |n| {
         let sent = [2_150, 8_150, 32_156, 65_687, 130_200, 261_277, 500_000];
         stopped_body(long_request_head(0, 0), sent[n % sent.len()])
@@ -48,6 +55,9 @@
     ("send many requests at once and read nothing", |_| {
         (0..50).map(|n| request("consulta", n, 2_000)).collect::<String>().into_bytes()
     }),
+    ("send many requests of ever new customers", |_| {
+        (0..100).map(|_| request("consulta", new_customer(), 2_000)).collect::<String>().into_bytes()
+    }),
     ("read nothing of a long answer", |n| request("modificar", n as u64 % 50, 2_000).into_bytes()),
 ];
 
--- a/src/api.rs
+++ b/src/api.rs
@@ -352,17 +352,20 @@
     GivenUp,
     /// The request's class or plan does not exist.
     Unknown,
+    /// The customer is new, and as many customers are known as may be.
+    TooManyCustomers,
 }
 
 impl RefusalReason {
     /// All reasons, in the order of their discriminants.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::OverQuota,
         Self::NoFreshTotal,
         Self::Overloaded,
         Self::NoBackend,
         Self::GivenUp,
         Self::Unknown,
+        Self::TooManyCustomers,
     ];
 
     /// Returns the name used in logs and metrics.
@@ -374,6 +377,7 @@
             Self::NoBackend => "no_backend",
             Self::GivenUp => "given_up",
             Self::Unknown => "unknown",
+            Self::TooManyCustomers => "too_many_customers",
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 mod quota;
 mod random;
 mod repeats;
+mod retention;
 mod settings;
 mod slow_start;
 mod state;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -195,6 +195,11 @@
             (self.bounded_spread(arrival.spread), arrival.deadline, arrival.body_pending);
         // State kept per customer alone would apply what one plan grants or refuses to another plan.
         let customer_id = arrival.customer.for_plan(plan);
+        if !self.has_room_for(customer_id) {
+            let (retry_after, reason) = (self.expected_latency() as Micros, RefusalReason::TooManyCustomers);
+            self.actions.push(Action::Refuse { id, retry_after, reason });
+            return;
+        }
         let request =
             Request { class, customer: customer_id, deadline, units, body_pending, ..Request::default() };
         self.requests.insert(id, request);
@@ -565,19 +570,7 @@
             // New backends keep coming with new ids, so one that is not listed any more is forgotten once its
             // last attempt has ended.
             self.backends.retain(|_, b| b.listed || b.in_flight > 0);
-            let windows: Vec<f64> = (0..self.cfg.plans.len()).map(|i| self.window_length(i)).collect();
-            let (queue, plans) = (&mut self.sync_queue, &self.cfg.plans);
-            self.customers.retain(|id, c| {
-                let retention = RETENTION_TIME.max(4.0 * windows[c.plan]);
-                let idle = now.saturating_sub(c.last_seen_at) as f64 > retention
-                    && c.pending.is_empty()
-                    && c.in_flight == 0;
-                let drop = idle && plans[c.plan].ceiling.is_none();
-                c.sync_at.filter(|_| drop).map(|t| queue.remove(&(t, *id)));
-                !drop
-            });
-            let customers = &self.customers;
-            self.counter_keys.retain(|_, (id, w)| customers.get(id).is_some_and(|c| *w + 2 >= c.window));
+            self.forget_idle_customers();
         }
     }
 
@@ -587,7 +580,10 @@
     pub(crate) fn send_attempt(&mut self, id: RequestId) -> bool {
         let (now, request) = (self.now, &self.requests[&id]);
         let (first, customer_id, class) = (request.attempts.is_empty(), request.customer, request.class);
-        let ceiling = self.ceiling_level(customer_id).filter(|_| first).map(|level| level - request.units);
+        let ceiling = self
+            .ceiling_level(&self.customers[&customer_id])
+            .filter(|_| first)
+            .map(|level| level - request.units);
         if ceiling.is_some_and(|left| left < 0.0) {
             return false;
         }
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -625,11 +625,10 @@
         }
     }
 
-    /// Returns the units left in this gateway's even share of a customer's ceiling, if its plan has one.
+    /// Returns the units left in this gateway's even share of `customer`'s ceiling, if its plan has one.
     /// First attempts must never overdraw the ceiling, and with even shares those of all gateways together do
     /// not. The bucket starts empty, as a process that has restarted does not know what was spent before.
-    pub(crate) fn ceiling_level(&self, id: CustomerId) -> Option<f64> {
-        let customer = &self.customers[&id];
+    pub(crate) fn ceiling_level(&self, customer: &Customer) -> Option<f64> {
         let ceiling = self.cfg.plans[customer.plan].ceiling?;
         let (level, at) = customer.ceiling.unwrap_or((0.0, self.started_at.unwrap_or(self.now)));
         Some(
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -241,6 +241,8 @@
     pub collapse_multiple: f64,
     /// How long a cold backend bears that overload before it collapses.
     pub collapse_after: Micros,
+    /// The largest number of customers whose state is kept.
+    pub max_customers: usize,
 }
 
 impl Default for Config {
@@ -275,6 +277,7 @@
             warm_up: 15_000_000,
             collapse_multiple: 2.0,
             collapse_after: 2_000_000,
+            max_customers: usize::MAX,
         }
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -247,6 +247,8 @@
     pub(crate) last_timer_token: u64,
     /// Customers by their id for a plan; see [`CustomerId::for_plan`].
     pub(crate) customers: BTreeMap<CustomerId, Customer>,
+    /// When customers may be looked for again that make way for new ones.
+    pub(crate) next_eviction_at: Micros,
     /// The customer and the window of each counter key in use.
     pub(crate) counter_keys: BTreeMap<CounterKey, (CustomerId, u64)>,
     /// The syncs that are scheduled, by the time when they are due.
--- a/src/vitals.rs
+++ b/src/vitals.rs
@@ -63,7 +63,7 @@
             RefusalReason::NoFreshTotal => &mut self.no_fresh_total,
             RefusalReason::Overloaded => &mut self.overloaded,
             RefusalReason::NoBackend => &mut self.no_backend,
-            RefusalReason::GivenUp | RefusalReason::Unknown => return,
+            RefusalReason::GivenUp | RefusalReason::Unknown | RefusalReason::TooManyCustomers => return,
         } += 1;
     }
 }
--- a/tests/customers.rs
+++ b/tests/customers.rs
@@ -4,6 +4,7 @@
 mod common;
 use caperwind::*;
 use common::*;
+use std::collections::HashMap;
 
 /// Returns settings with a small plan (burst 4 units) and a large one (burst 100 units).
 fn two_plans() -> Config {
@@ -111,3 +112,83 @@
         assert!(passed(&mut harness, 200, 60, 5) >= 50, "its large plan is unused");
     }
 }
+
+/// The totals of the counter.
+type Totals = HashMap<CounterKey, f64>;
+
+/// Sends one request of this customer; its attempt and all counter calls are answered. Returns whether it was sent on.
+fn meet(harness: &mut Harness, totals: &mut Totals, id: u32, customer: u64) -> bool {
+    let mut actions = harness.request(id, customer);
+    let mut was_sent = false;
+    while !actions.is_empty() {
+        let new = std::mem::take(&mut actions);
+        for (id, backend) in sent(&new) {
+            was_sent = true;
+            actions.extend(harness.end_attempt(id, 0, backend, Outcome::Ok, 1));
+        }
+        for (key, amount) in counter_calls(&new) {
+            let total = totals.entry(key).or_default();
+            *total += amount;
+            actions.extend(harness.counter_call_ended(key, CounterResult::Total(*total)));
+        }
+    }
+    was_sent
+}
+
+/// Meets each of these customers once, a hundred a second. Returns the largest number of known customers.
+fn meet_all(harness: &mut Harness, totals: &mut Totals, customers: std::ops::Range<u64>) -> usize {
+    let mut known = 0;
+    for customer in customers {
+        meet(harness, totals, customer as u32, customer);
+        let later = harness.advance(10 * MS);
+        for (key, amount) in counter_calls(&later) {
+            let total = totals.entry(key).or_default();
+            *total += amount;
+            harness.counter_call_ended(key, CounterResult::Total(*total));
+        }
+        known = known.max(harness.gateway.diagnostics().customers);
+    }
+    known
+}
+
+/// Guards against memory that grows with ever new customers: as many are kept as the settings allow. Customers that return
+/// keep their state.
+#[test]
+fn ever_new_customers_make_way() {
+    const MAX_CUSTOMERS: usize = 64;
+    const RETURNING: u64 = 5;
+    const ROUNDS: u64 = 30;
+    let mut harness = Harness::new(Config { max_customers: MAX_CUSTOMERS, ..two_plans() }, 3);
+    let (mut totals, mut passed) = (Totals::new(), 0);
+    for round in 0..ROUNDS {
+        let known = meet_all(&mut harness, &mut totals, 1_000 + round * 40..1_040 + round * 40);
+        assert!(known <= MAX_CUSTOMERS, "{known} customers are known");
+        for n in 0..20 {
+            let id = 100_000 + (round * 20 + n) as u32;
+            passed += u64::from(meet(&mut harness, &mut totals, id, RETURNING));
+        }
+    }
+    // Its plan gives it 1 unit/s, and 4 more at first; a round takes 0.4 s.
+    assert!(passed <= 4 + ROUNDS * 4 / 10 + 1, "{passed} pass");
+}
+
+/// Guards against a hard ceiling that is granted anew to a customer that was forgotten, and against customers of a plan with
+/// a ceiling that are kept for ever.
+#[test]
+fn a_customer_with_a_spent_ceiling_is_not_forgotten() {
+    let ceiling = Some(Ceiling { rate: 0.1, burst: 8.0, slack: 1.0 });
+    let plans = vec![Plan { ceiling, ..Plan::with_rate("capped", 100.0, 200.0) }];
+    let mut harness = Harness::new(Config { max_customers: 64, plans, ..config() }, 3);
+    harness.advance(200 * SEC);
+    let mut totals = Totals::new();
+    let mut pass = |harness: &mut Harness, ids: std::ops::Range<u32>| {
+        ids.filter(|id| meet(harness, &mut totals, *id, 5)).count()
+    };
+    let before = pass(&mut harness, 1..41);
+    assert!((3..=5).contains(&before), "half of the burst: {before}");
+    assert!(meet_all(&mut harness, &mut Totals::new(), 1_000..2_000) <= 64);
+    let after = pass(&mut harness, 100..140);
+    assert!(after <= 1, "{after} more pass, though 10 s bring half a unit");
+    harness.advance(300 * SEC);
+    assert_eq!(harness.gateway.diagnostics().customers, 0, "a full ceiling is kept for ever");
+}
