Do not send a request on again where its id comes again after its client has left

What operators saw: an id ran twice, after its client had left or at the other process of an upgrade.

Cause: an id was known only while its request was open, and in one process.

--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -5,6 +5,7 @@
 
 mod actions;
 mod backend_list;
+mod begun_requests;
 mod deadlines;
 mod report;
 mod timers;
@@ -17,8 +18,10 @@
 use crate::discovery::Subscriber;
 use crate::endpoints::{Endpoint, EndpointList};
 use crate::guard::{EarlierAttempt, Guard};
+use crate::hash::fnv1a;
 use crate::reasons::{ReasonCounts, RefusalCause};
 use backend_list::{BackendList, UpdatedBackend, MAX_BACKENDS};
+use begun_requests::BegunRequests;
 use caperwind::{
     Action, Arrival, BackendId, BackendRow, BackendState, Config, CounterKey, CounterResult, Effect, Event,
     Gateway, HandoverState, ListKind, Micros, RefusalReason, RequestId, UnsyncedUnits,
@@ -105,6 +108,8 @@
     last_id: u32,
     /// The correlation ids of open requests.
     open_correlation_ids: HashSet<Rc<str>>,
+    /// The requests of classes with an effect that have been sent to a backend, by this or another process.
+    begun_requests: BegunRequests,
     /// The timers, ordered by the time at which they are due.
     timers: BTreeSet<(Micros, TimerKind)>,
     /// Events that have not been passed to the decision module.
@@ -132,8 +137,13 @@
     list_received: Notify,
     /// When every request must be finished; `None` before the shutdown.
     shutdown_deadline: Cell<Option<Micros>>,
+    /// Is told of each request of a class with an effect that is sent to a backend, by the hash of its correlation id.
+    begun_observer: RefCell<Option<BegunObserver>>,
 }
 
+/// Is told of a request by the hash of its correlation id.
+type BegunObserver = Box<dyn Fn(u64)>;
+
 impl DriverState {
     /// Removes a finished request with its correlation id and its deadline timer.
     fn remove_request(&mut self, id: RequestId) {
@@ -175,6 +185,7 @@
             requests: HashMap::new(),
             last_id: 0,
             open_correlation_ids: HashSet::new(),
+            begun_requests: BegunRequests::default(),
             timers: BTreeSet::from([(clock.now() + SWEEP_INTERVAL, TimerKind::Sweep)]),
             events: VecDeque::new(),
             actions: Vec::new(),
@@ -193,6 +204,7 @@
             has_backend_list: Cell::new(false),
             list_received: Notify::new(),
             shutdown_deadline: Cell::new(None),
+            begun_observer: RefCell::new(None),
         })))
     }
 
@@ -240,6 +252,12 @@
             return Err((StatusCode::CONFLICT, "a request of this X-Correlation-Id is open\n"));
         }
         let now = self.0.clock.now();
+        let effect = self.0.config.classes[usize::from(metadata.class.0)].effect;
+        let hash = fnv1a(metadata.correlation_id.as_bytes());
+        if effect != Effect::Pure && state.begun_requests.contains(hash, now) {
+            state.open_correlation_ids.remove(&metadata.correlation_id);
+            return Err((StatusCode::CONFLICT, "a request of this X-Correlation-Id has been sent on\n"));
+        }
         let body_pending = matches!(message.body, Payload::Streamed(_));
         let received_at = if body_pending { 0 } else { now };
         let time_left = metadata.time_limit.saturating_sub(DEADLINE_MARGIN)
@@ -257,7 +275,6 @@
         let (correlation_id, message) = (metadata.correlation_id, Rc::new(message));
         let (reply, shared_deadline) = (Some(reply), Deadline::new(self.0.clock.instant(deadline)));
         let reply_deadline = shared_deadline.clone();
-        let effect = self.0.config.classes[usize::from(metadata.class.0)].effect;
         let (history, in_flight) = (Vec::new(), Vec::new());
         let request = OpenRequest {
             correlation_id,
@@ -290,6 +307,24 @@
         Ok(PendingReply { driver: self.clone(), id, receiver, deadline: reply_deadline, done: false })
     }
 
+    /// The requests of classes with an effect that have been sent to a backend, by the hash of their correlation id.
+    pub fn begun_requests(&self) -> Vec<u64> {
+        self.0.state.borrow().begun_requests.all()
+    }
+
+    /// Records requests that another process of this gateway has sent to a backend.
+    pub fn add_begun_requests(&self, hashes: &[u64]) {
+        let (mut state, now) = (self.0.state.borrow_mut(), self.0.clock.now());
+        for hash in hashes {
+            state.begun_requests.insert(*hash, now);
+        }
+    }
+
+    /// Sets who is told of each request that is sent to a backend, as [`Driver::begun_requests`] has them.
+    pub fn observe_begun_requests(&self, observer: impl Fn(u64) + 'static) {
+        *self.0.begun_observer.borrow_mut() = Some(Box::new(observer));
+    }
+
     /// Whether a backend of that name is listed or disabled by an operator.
     pub fn knows_backend(&self, name: &str) -> bool {
         self.0.state.borrow().backends.knows_backend(name)
--- a/node/src/driver/actions.rs
+++ b/node/src/driver/actions.rs
@@ -4,9 +4,10 @@
 use super::{Driver, DriverState, InFlightAttempt, Reply};
 use crate::backend::{AttemptLimits, ClientClosed, CompletedAttempt};
 use crate::guard::{EarlierAttempt, RepeatFacts};
+use crate::hash::fnv1a;
 use crate::reasons::outcome_name;
 use caperwind::{
-    Action, AttemptIndex, AttemptResult, BackendId, Event, Micros, Outcome, RequestId, SendReason,
+    Action, AttemptIndex, AttemptResult, BackendId, Effect, Event, Micros, Outcome, RequestId, SendReason,
 };
 
 /// An attempt that the decision module has ordered.
@@ -122,6 +123,12 @@
             return;
         }
         self.0.reason_counts.record_attempt(&request.correlation_id, attempt, &backend, reason);
+        if request.effect != Effect::Pure {
+            let hash = fnv1a(request.correlation_id.as_bytes());
+            if state.begun_requests.insert(hash, now) {
+                self.0.begun_observer.borrow().iter().for_each(|observer| observer(hash));
+            }
+        }
         if let Some(limit) = timeout {
             state.timers.insert((now + limit, TimerKind::AttemptTimeout(id, attempt)));
         }
--- a/node/src/handover.rs
+++ b/node/src/handover.rs
@@ -61,6 +61,12 @@
         /// Whether the gateway drains from now on.
         on: bool,
     },
+    /// Requests that the sender has sent to a backend, by the hashes of their correlation ids. Sent only to a process that is
+    /// known to understand it; a successor sends an empty one first to say so.
+    Begun {
+        /// The hashes.
+        requests: Vec<u64>,
+    },
     /// The connections that the sender has open, which count towards the limits of both processes together.
     Held(OpenConnections),
     /// The last message of a process that ends: units that it has not added to the counter.
@@ -76,6 +82,9 @@
     draining: bool,
     #[serde(rename = "module")]
     decision_state: HandoverState,
+    /// The requests that the sender has sent to a backend; `None` if its version does not tell them.
+    #[serde(default)]
+    begun: Option<Vec<u64>>,
 }
 
 /// Takes over the clients' listening socket that the platform holds for every process of this gateway. Fails if
@@ -102,6 +111,8 @@
     outgoing: mpsc::UnboundedSender<String>,
     /// Whether this process has received a message from the other.
     has_sent_message: bool,
+    /// Whether the other process understands [`Message::Begun`].
+    takes_begun: bool,
     reader: AbortHandle,
     writer: JoinHandle<()>,
 }
@@ -130,6 +141,10 @@
         let this =
             Rc::new(Handover { driver, path, peers, next_peer_id, peer_connections, successor, peer_left });
         let Some(path) = this.path.clone() else { return this };
+        let observer = Rc::downgrade(&this);
+        this.driver.observe_begun_requests(move |hash| {
+            observer.upgrade().iter().for_each(|handover| handover.tell_begun(None, vec![hash]));
+        });
         // If the predecessor is absent or its socket stale, or it does not answer or breaks off, this process
         // starts from its own configuration.
         match timeout(STATE_TIMEOUT, this.receive_state(&path)).await {
@@ -175,6 +190,17 @@
         recipients.for_each(|(_, peer)| drop(peer.outgoing.send(line.clone())));
     }
 
+    /// Tells the other processes, except `excluded`, of requests that have been sent to a backend.
+    fn tell_begun(&self, excluded: Option<u64>, requests: Vec<u64>) {
+        let peers = self.peers.borrow();
+        let mut recipients =
+            peers.iter().filter(|(id, peer)| peer.takes_begun && Some(**id) != excluded).peekable();
+        if recipients.peek().is_some() {
+            let line = encode_line(&Message::Begun { requests });
+            recipients.for_each(|(_, peer)| drop(peer.outgoing.send(line.clone())));
+        }
+    }
+
     /// Sends the units that this process has not added to the counter to exactly one other process, since two
     /// recipients would both add them: the successor that serves, or else the last connected of those that have
     /// sent a message, or else the last connected.
@@ -208,12 +234,17 @@
         else {
             return Err("the first message of the other process is not its state".to_owned());
         };
-        let State { list, disabled_backends, draining, decision_state } = *state;
+        let State { list, disabled_backends, draining, decision_state, begun } = *state;
         self.driver.apply_cached_list(list);
         self.driver.receive_handover(decision_state);
         disabled_backends.iter().for_each(|name| self.driver.set_backend_disabled(name, true));
         self.driver.set_draining(draining);
-        self.add_peer(from, to, true);
+        let predecessor = self.add_peer(from, to, true);
+        if let Some(begun) = begun {
+            self.driver.add_begun_requests(&begun);
+            drop(predecessor.send(encode_line(&Message::Begun { requests: Vec::new() })));
+            self.peers.borrow_mut().values_mut().for_each(|peer| peer.takes_begun = true);
+        }
         Ok(())
     }
 
@@ -238,7 +269,9 @@
         }
         let (list, disabled_backends) = self.driver.backend_snapshot();
         let (draining, decision_state) = (self.driver.draining(), self.driver.handover_state());
-        let state = Message::State(Box::new(State { list, disabled_backends, draining, decision_state }));
+        let begun = Some(self.driver.begun_requests());
+        let state =
+            Message::State(Box::new(State { list, disabled_backends, draining, decision_state, begun }));
         let (from, to) = stream.into_split();
         let outgoing = self.add_peer(BufReader::new(from), to, false);
         drop(outgoing.send(encode_line(&state)));
@@ -276,8 +309,13 @@
             }
             this.remove_peer(id);
         });
-        let peer =
-            Peer { outgoing: outgoing.clone(), has_sent_message, reader: reader.abort_handle(), writer };
+        let peer = Peer {
+            outgoing: outgoing.clone(),
+            has_sent_message,
+            takes_begun: false,
+            reader: reader.abort_handle(),
+            writer,
+        };
         self.peers.borrow_mut().insert(id, peer);
         self.peers_changed();
         outgoing
@@ -302,6 +340,21 @@
         self.driver.set_other_process_serving(has_peers);
     }
 
+    /// Records requests that a peer has sent to a backend, and tells the others. A first message of this kind shows that
+    /// the peer understands it: it is told then what has been begun since it got the state.
+    fn learn_begun(&self, id: u64, requests: Vec<u64>) {
+        let understood = |peer: &mut Peer| !std::mem::replace(&mut peer.takes_begun, true);
+        let first = self.peers.borrow_mut().get_mut(&id).is_some_and(understood);
+        self.driver.add_begun_requests(&requests);
+        if !requests.is_empty() {
+            self.tell_begun(Some(id), requests);
+        }
+        if let (true, Some(peer)) = (first, self.peers.borrow().get(&id)) {
+            let line = encode_line(&Message::Begun { requests: self.driver.begun_requests() });
+            drop(peer.outgoing.send(line));
+        }
+    }
+
     fn handle(&self, id: u64, message: Message) {
         self.peers.borrow_mut().entry(id).and_modify(|peer| peer.has_sent_message = true);
         if let Message::Bar { .. } | Message::Drain { .. } = &message {
@@ -311,6 +364,7 @@
             Message::Serving => self.successor.set(Some(id)),
             Message::Bar { name, out } => self.driver.set_backend_disabled(&name, out),
             Message::Drain { on } => self.driver.set_draining(on),
+            Message::Begun { requests } => self.learn_begun(id, requests),
             Message::Held(open) => drop(self.peer_connections.send_replace(Some(open))),
             Message::Spent(units) => self.driver.add_unsynced_units(units),
             // A process takes over state only from the first message of its predecessor.
--- a/node/tests/handover.rs
+++ b/node/tests/handover.rs
@@ -433,3 +433,37 @@
     wait_for_file(&fixture.socket());
     assert_eq!(fixture.start_process().metrics()["skipped_backends"], 1);
 }
+
+/// Guards against running a request with an effect a second time where its id comes again at the other process of an upgrade:
+/// one that was sent on before the new process started, and one after that, in either process.
+#[test]
+fn an_id_that_comes_again_at_the_other_process_is_not_sent_on() {
+    let backend = FakeServer::start(|_| Reaction::Silence);
+    let fixture = GatewayFixture::new(&[&backend]);
+    // Sends a request to one process, alone at the listener, and leaves.
+    let begin = |stopped: Option<&Gateway>, text: &str, process: &Gateway| {
+        stopped.iter().for_each(|other| other.signal("-STOP"));
+        let mut client = process.client();
+        client.send(text);
+        backend.next_request();
+        client.disconnect(Disconnect::Close);
+        backend.closed_by_peer.recv_timeout(TEST_TIMEOUT).expect("the attempt is cancelled");
+        stopped.iter().for_each(|other| other.signal("-CONT"));
+    };
+    let repeat = |stopped: &Gateway, text: &str, process: &Gateway| {
+        // What one process has told stands in the other one's socket before that is asked.
+        stopped.signal("-STOP");
+        assert_eq!(process.client().ask(text).status(), 409, "{}", process.log());
+        stopped.signal("-CONT");
+        assert_eq!(backend.requests.try_iter().count(), 0, "it was sent on once more");
+    };
+    let texts = [(); 3].map(|()| request("orden-nueva", 7, 1_000));
+    let old = fixture.start_process();
+    begin(None, &texts[0], &old);
+    let new = fixture.start_process();
+    repeat(&old, &texts[0], &new);
+    begin(Some(&new), &texts[1], &old);
+    repeat(&old, &texts[1], &new);
+    begin(Some(&old), &texts[2], &new);
+    repeat(&new, &texts[2], &old);
+}
--- a/node/tests/leaving.rs
+++ b/node/tests/leaving.rs
@@ -471,3 +471,22 @@
     assert!(client.at_eof());
     assert_eq!(backend.requests.try_iter().count(), 0);
 }
+
+/// Guards against running a request with an effect a second time where its id comes again after its client has left. It is
+/// answered as failed: a refusal would say that it has not run.
+#[test]
+fn an_id_that_comes_again_after_its_client_left_is_not_sent_on() {
+    for class in ["orden-nueva", "modificar"] {
+        let backend = FakeServer::start(|_| Reaction::Silence);
+        let fixture = Fixture::new(&GatewayOptions::default(), serving_entries(&[&backend]), fake_counter());
+        let text = request(class, 7, 1_000);
+        let mut client = fixture.gateway.client();
+        client.send(&text);
+        backend.next_request();
+        client.disconnect(Disconnect::Close);
+        backend.closed_by_peer.recv_timeout(TEST_TIMEOUT).expect("the attempt is cancelled");
+        let again = fixture.gateway.client().ask(&text);
+        assert_eq!(again.status(), 409, "{class}: {}", fixture.gateway.log());
+        assert_eq!(backend.requests.try_iter().count(), 0, "{class}: it was sent on once more");
+    }
+}
