--- a/node/src/meter.rs
+++ b/node/src/meter.rs
@@ -202,6 +202,18 @@
         }
     }
 
+    /// Returns how many bytes of the current request's body have not arrived at this machine; `None` if its length is not
+    /// declared or not known.
+    pub fn body_bytes_to_come(&self) -> Option<u64> {
+        match self.requests.borrow().as_ref().and_then(RequestTracker::body)? {
+            BodyScanner::Length(left) => {
+                let unread = self.ahead.borrow().bytes.len() + self.unread_in_socket();
+                Some(left.saturating_sub(unread as u64))
+            }
+            BodyScanner::Chunked(_) => None,
+        }
+    }
+
     /// Returns the number of bytes that have arrived at this machine, read or unread.
     pub fn received(&self) -> u64 {
         self.read.get() + (self.ahead.borrow().bytes.len() + self.unread_in_socket()) as u64
--- a/node/tests/stalled_uploads.rs
+++ b/node/tests/stalled_uploads.rs
@@ -5,7 +5,7 @@
 
 use common::*;
 use socket2::{Domain, SockRef, Socket, Type};
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
 use std::sync::mpsc::{channel, Receiver, Sender, TryRecvError};
@@ -203,6 +203,62 @@
     }
 }
 
+/// Bodies of which the client's own machine holds the end while the backend takes nothing, in bytes. How much of one the
+/// machines on the way hold differs; one that can't be written whole does not count.
+const HELD_BODY_BYTES: [usize; 4] = [2 << 20, 4 << 20, 5 << 20, 6 << 20];
+/// How long a body that the machines on the way hold takes to be written.
+const WRITE_TIME: Duration = Duration::from_millis(400);
+
+/// Guards against an answer that comes seconds after its request's time, since the client's own machine holds the end of the
+/// body: the client has written all of it, and its backend takes nothing, or reads it slowly.
+#[test]
+fn a_request_whose_end_its_client_s_machine_holds_is_answered_in_time() {
+    let mut written_bodies = 0;
+    for slow_reads in [false, true] {
+        for bytes in HELD_BODY_BYTES {
+            let (silent, slow) = (SilentBackend::start(""), slow_backend());
+            let address = if slow_reads { slow } else { silent.address };
+            let entries = vec![entry("s-0", address, "SERVING")];
+            let fixture = Fixture::new(&GatewayOptions::default(), entries, fake_counter());
+            let (mut client, mut socket) = connect_client(fixture.gateway.address);
+            let (head, body) = upload(bytes, false);
+            let began = Instant::now();
+            let writer = std::thread::spawn(move || {
+                socket.write_all((head + &body).as_bytes()).is_ok().then(Instant::now)
+            });
+            let answer = client.read_answer().map(|answer| answer.status());
+            let answered_at = Instant::now();
+            let Some(written_at) = writer.join().expect("a writer") else { continue };
+            if written_at - began > WRITE_TIME {
+                continue;
+            }
+            written_bodies += 1;
+            let elapsed = answered_at - written_at;
+            assert!(answer.is_some_and(|status| status >= 500), "{answer:?}");
+            assert!(elapsed < LATEST_ANSWER, "{elapsed:?} of {bytes} {slow_reads} {}", fixture.gateway.log());
+        }
+    }
+    assert!(written_bodies >= 4, "{written_bodies} bodies were written whole");
+}
+
+/// Starts a backend that reads 64 KiB a second.
+fn slow_backend() -> SocketAddr {
+    let listener = TcpListener::bind((unique_loopback_ip(), 0)).expect("a free port");
+    SockRef::from(&listener).set_recv_buffer_size(BACKEND_BUFFER_BYTES).expect("an option");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            std::thread::spawn(move || {
+                let mut piece = [0; 6_554];
+                while stream.read(&mut piece).is_ok_and(|n| n > 0) {
+                    std::thread::sleep(Duration::from_millis(100));
+                }
+            });
+        }
+    });
+    address
+}
+
 /// Guards against an answer that is never ended because its backend fell silent under it before it had taken the whole
 /// body: the client is told in time that the answer is not whole.
 #[test]
