--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 #![warn(missing_docs)]
 
 mod api;
+mod counter_calls;
 mod logic;
 mod quota;
 mod random;
