Send to chosen peers in one place, and look a repeated id up before it is noted

tell_begun repeated what broadcast_except does; both use send_where now, which encodes a message only where somebody gets it. submit noted the id of a request and took it back where the request had been sent on; it asks first, and hashes ids of classes with an effect alone. ceiling_is_full takes the customer that its callers have in hand. A line of a module comment is wrapped.

--- a/node/src/body/answer_limit.rs
+++ b/node/src/body/answer_limit.rs
@@ -3,7 +3,8 @@
 //! A short response has to be complete by its request's deadline. A long one may take longer, as long as its backend
 //! keeps sending. A response of unknown length may turn out to be either: if no bytes arrive after the deadline, it
 //! is treated as a short response that never ends, unless its backend has rested for as long before; while bytes keep
-//! arriving, it is treated like a long one. Only the time in which the gateway is ready to read counts, not the time in which the client does not accept data.
+//! arriving, it is treated like a long one. Only the time in which the gateway is ready to read counts, not the time in
+//! which the client does not accept data.
 
 use super::interruption::AnswerInterruption;
 use super::{MAX_BODY_BYTES, MAX_BUFFERED_BYTES};
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -248,16 +248,16 @@
             return Err((StatusCode::SERVICE_UNAVAILABLE, "too many requests open\n"));
         }
         // Backends identify a request by its correlation id: they would take a second one for a repeat of the first.
-        if !state.open_correlation_ids.insert(metadata.correlation_id.clone()) {
+        if state.open_correlation_ids.contains(&metadata.correlation_id) {
             return Err((StatusCode::CONFLICT, "a request of this X-Correlation-Id is open\n"));
         }
         let now = self.0.clock.now();
         let effect = self.0.config.classes[usize::from(metadata.class.0)].effect;
-        let hash = fnv1a(metadata.correlation_id.as_bytes());
-        if effect != Effect::Pure && state.begun_requests.contains(hash, now) {
-            state.open_correlation_ids.remove(&metadata.correlation_id);
+        let mut has_begun = || state.begun_requests.contains(fnv1a(metadata.correlation_id.as_bytes()), now);
+        if effect != Effect::Pure && has_begun() {
             return Err((StatusCode::CONFLICT, "a request of this X-Correlation-Id has been sent on\n"));
         }
+        state.open_correlation_ids.insert(metadata.correlation_id.clone());
         let body_pending = matches!(message.body, Payload::Streamed(_));
         let received_at = if body_pending { 0 } else { now };
         let time_left = metadata.time_limit.saturating_sub(DEADLINE_MARGIN)
--- a/node/src/handover.rs
+++ b/node/src/handover.rs
@@ -184,19 +184,21 @@
     }
 
     fn broadcast_except(&self, excluded: Option<u64>, message: &Message) {
-        let line = encode_line(message);
-        let peers = self.peers.borrow();
-        let recipients = peers.iter().filter(|(id, _)| Some(**id) != excluded);
-        recipients.for_each(|(_, peer)| drop(peer.outgoing.send(line.clone())));
+        self.send_where(|id, _| Some(id) != excluded, message);
     }
 
     /// Tells the other processes, except `excluded`, of requests that have been sent to a backend.
     fn tell_begun(&self, excluded: Option<u64>, requests: Vec<u64>) {
+        let understands = |id, peer: &Peer| peer.takes_begun && Some(id) != excluded;
+        self.send_where(understands, &Message::Begun { requests });
+    }
+
+    /// Sends a message to the peers that `is_recipient` accepts.
+    fn send_where(&self, is_recipient: impl Fn(u64, &Peer) -> bool, message: &Message) {
         let peers = self.peers.borrow();
-        let mut recipients =
-            peers.iter().filter(|(id, peer)| peer.takes_begun && Some(**id) != excluded).peekable();
+        let mut recipients = peers.iter().filter(|(id, peer)| is_recipient(**id, peer)).peekable();
         if recipients.peek().is_some() {
-            let line = encode_line(&Message::Begun { requests });
+            let line = encode_line(message);
             recipients.for_each(|(_, peer)| drop(peer.outgoing.send(line.clone())));
         }
     }
--- a/src/retention.rs
+++ b/src/retention.rs
@@ -24,8 +24,7 @@
 
 impl Gateway {
     /// Returns whether a customer that is forgotten would get no more of its ceiling than is left to it now.
-    fn ceiling_is_full(&self, id: CustomerId) -> bool {
-        let customer = &self.customers[&id];
+    fn ceiling_is_full(&self, customer: &Customer) -> bool {
         let fresh = Customer { plan: customer.plan, spread: customer.spread, ..Customer::default() };
         match (self.ceiling_level(customer), self.ceiling_level(&fresh)) {
             (Some(level), Some(fresh_level)) => level >= fresh_level,
@@ -41,7 +40,7 @@
             let idle = self.since(customer.last_seen_at) > retention
                 && customer.pending.is_empty()
                 && customer.in_flight == 0;
-            (idle && self.ceiling_is_full(*id)).then_some(*id)
+            (idle && self.ceiling_is_full(customer)).then_some(*id)
         };
         let forgotten: Vec<CustomerId> = self.customers.iter().filter_map(idle).collect();
         self.forget_customers(&forgotten);
@@ -64,7 +63,7 @@
     fn evict_customers(&mut self) {
         let busy: BTreeSet<CustomerId> = self.requests.values().map(|request| request.customer).collect();
         let settled = self.customers.iter().filter(|(id, c)| c.is_settled() && !busy.contains(id));
-        let evictable = settled.filter(|(id, _)| self.ceiling_is_full(**id));
+        let evictable = settled.filter(|(_, customer)| self.ceiling_is_full(customer));
         let mut evicted: Vec<_> =
             evictable.map(|(id, c)| (c.previous.request_seen, c.last_seen_at, *id)).collect();
         evicted.sort_unstable();
