Have the early answer of a stalled upload come in a known order in its test

Cause: the test left open whether the answer comes before or after the end of the body. An answer in chunks is gathered for 25 ms, and the end of the body is looked for every 40 ms. Where the process is held up for some 15 ms in between, the request has arrived first; it then has its 0.7 s, an answer of four bytes that rests is held back, and the client is answered 504 in time, as it should be.

Change: the test reads the status line before it sends the rest, so that the answer comes first every time, and asks for 200 as before. The other order is a test of its own: the backend answers once the gateway counts the request as in progress, and the answer is 504 within the same bound. Nothing in the product changes.

--- a/node/tests/stalled_uploads.rs
+++ b/node/tests/stalled_uploads.rs
@@ -30,13 +30,22 @@
 /// The number of connections that the backend's machine keeps for it.
 const BACKLOG: i32 = 128;
 
-/// A backend that takes the head of each request, answers a `POST` with a text at once, and then takes nothing more.
+/// A backend that takes the head of each request, answers a `POST` with a text, and then takes nothing more.
 struct SilentBackend {
     address: SocketAddr,
     /// Receives a message for each head of a `POST`.
     heads: Receiver<()>,
-    /// Ends the backend's connections when it is dropped.
-    _end: Sender<()>,
+    /// Has the next answer sent, if it is not sent at once. Ends the backend's connections when it is dropped.
+    send_answer: Sender<()>,
+}
+
+/// When a [`SilentBackend`] answers a `POST`.
+#[derive(Clone, Copy, PartialEq)]
+enum AnswerTime {
+    /// As soon as it has the head.
+    AtOnce,
+    /// When the test says so.
+    OnDemand,
 }
 
 /// Reads a request's head.
@@ -47,7 +56,7 @@
 }
 
 impl SilentBackend {
-    fn start(answer: &'static str) -> Self {
+    fn start(answer: &'static str, answer_time: AnswerTime) -> Self {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
         socket.set_recv_buffer_size(BACKEND_BUFFER_BYTES).expect("an option");
         socket.set_tcp_mss(ETHERNET_SEGMENT_BYTES).expect("an option");
@@ -57,10 +66,18 @@
         let listener = TcpListener::from(socket);
         listener.set_nonblocking(true).expect("an option");
         let address = listener.local_addr().expect("an address");
-        let ((head_sender, heads), (_end, ended)) = (channel(), channel::<()>());
+        let ((head_sender, heads), (send_answer, answer_demand)) = (channel(), channel::<()>());
         std::thread::spawn(move || {
-            let mut connections = Vec::new();
-            while ended.try_recv() == Err(TryRecvError::Empty) {
+            let mut connections: Vec<BufReader<TcpStream>> = Vec::new();
+            loop {
+                match answer_demand.try_recv() {
+                    Ok(()) => {
+                        let mut asked = connections.last().expect("a request").get_ref();
+                        asked.write_all(answer.as_bytes()).expect("the gateway reads");
+                    }
+                    Err(TryRecvError::Empty) => {}
+                    Err(TryRecvError::Disconnected) => return,
+                }
                 let Ok((stream, _)) = listener.accept() else {
                     std::thread::sleep(Duration::from_millis(1));
                     continue;
@@ -69,13 +86,15 @@
                 // A small buffer leaves the body in the socket.
                 let mut connection = BufReader::with_capacity(256, stream);
                 if read_head(&mut connection).starts_with("POST") {
-                    let _ = connection.get_ref().write_all(answer.as_bytes());
+                    if answer_time == AnswerTime::AtOnce {
+                        let _ = connection.get_ref().write_all(answer.as_bytes());
+                    }
                     let _ = head_sender.send(());
                 }
                 connections.push(connection);
             }
         });
-        SilentBackend { address, heads, _end }
+        SilentBackend { address, heads, send_answer }
     }
 
     fn fixture(&self) -> Fixture {
@@ -120,12 +139,14 @@
 }
 
 /// Sends a request of which the backend gets only a part. Returns the client once the gateway's machine has
-/// acknowledged the last byte, and the time of that.
-fn send_whole_request(
+/// acknowledged the last byte, and the time of that. `meanwhile` is called with the client when the backend has the head
+/// and the gateway's machine lacks the rest of the body.
+fn send_whole_request_and(
     fixture: &Fixture,
     backend: &SilentBackend,
     body_bytes: usize,
     chunked: bool,
+    meanwhile: impl Fn(&mut Client),
 ) -> (Client, Instant) {
     let (mut client, socket) = connect_client(fixture.gateway.address);
     let (head, body) = upload(body_bytes, chunked);
@@ -133,17 +154,28 @@
     client.send(&head);
     client.send(first);
     backend.heads.recv_timeout(TEST_TIMEOUT).expect("the backend gets the head");
+    meanwhile(&mut client);
     client.send(rest);
     wait_until_acknowledged(&socket);
     (client, Instant::now())
 }
 
+/// As [`send_whole_request_and`], with nothing to do meanwhile.
+fn send_whole_request(
+    fixture: &Fixture,
+    backend: &SilentBackend,
+    body_bytes: usize,
+    chunked: bool,
+) -> (Client, Instant) {
+    send_whole_request_and(fixture, backend, body_bytes, chunked, |_| {})
+}
+
 /// Guards against a request that gets no answer while its backend is silent, since the gateway reads the body only as
 /// fast as the backend takes it and started the request's time when it had read the last byte itself.
 #[test]
 fn a_request_is_answered_in_time_though_its_backend_takes_no_more_of_the_body() {
     for chunked in [false, true] {
-        let backend = SilentBackend::start("");
+        let backend = SilentBackend::start("", AnswerTime::AtOnce);
         let fixture = backend.fixture();
         let (mut client, sent_at) = send_whole_request(&fixture, &backend, BODY_BYTES, chunked);
         let answer = client.read_answer().map(|answer| answer.status());
@@ -185,7 +217,7 @@
 #[test]
 fn an_upload_that_its_backend_takes_no_more_of_is_refused() {
     for chunked in [false, true] {
-        let backend = SilentBackend::start("");
+        let backend = SilentBackend::start("", AnswerTime::AtOnce);
         let fixture = backend.fixture();
         let (mut client, mut socket) = connect_client(fixture.gateway.address);
         let (head, body) = upload(HUGE_BODY_BYTES, chunked);
@@ -218,7 +250,7 @@
     for slow_reads in [false, true] {
         let mut written_bodies = 0;
         for bytes in HELD_BODY_BYTES {
-            let (silent, slow) = (SilentBackend::start(""), slow_backend());
+            let (silent, slow) = (SilentBackend::start("", AnswerTime::AtOnce), slow_backend());
             let address = if slow_reads { slow } else { silent.address };
             let entries = vec![entry("s-0", address, "SERVING")];
             let fixture = Fixture::new(&GatewayOptions::default(), entries, fake_counter());
@@ -262,27 +294,50 @@
     address
 }
 
+/// The beginning of an answer that never ends.
+const HALF_ANSWER: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n";
+
 /// Guards against an answer that is never ended because its backend fell silent under it before it had taken the whole
 /// body: the client is told in time that the answer is not whole.
 #[test]
 fn an_early_answer_is_given_up_in_time_though_its_backend_takes_no_more_of_the_body() {
     for chunked in [false, true] {
-        let backend =
-            SilentBackend::start("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+        let backend = SilentBackend::start(HALF_ANSWER, AnswerTime::AtOnce);
         let fixture = backend.fixture();
-        let (mut client, sent_at) = send_whole_request(&fixture, &backend, SHORTER_BODY_BYTES, chunked);
-        assert_eq!(client.read_line(), "HTTP/1.1 200 OK");
+        // The answer is passed on as it comes, since the request's time begins only with the end of its body.
+        let status_line_first = |client: &mut Client| assert_eq!(client.read_line(), "HTTP/1.1 200 OK");
+        let (mut client, sent_at) =
+            send_whole_request_and(&fixture, &backend, SHORTER_BODY_BYTES, chunked, status_line_first);
         client.read_to_end();
         let elapsed = sent_at.elapsed();
         assert!(elapsed < LATEST_ANSWER, "{elapsed:?} chunked: {chunked} {}", fixture.gateway.log());
     }
 }
 
+/// Guards against the same where the answer begins after the request has arrived whole: it is held back, so that the
+/// client is told in time that its request has failed.
+#[test]
+fn an_answer_that_begins_after_the_body_arrived_fails_in_time_though_its_backend_takes_no_more() {
+    for chunked in [false, true] {
+        let backend = SilentBackend::start(HALF_ANSWER, AnswerTime::OnDemand);
+        let fixture = backend.fixture();
+        let (mut client, sent_at) = send_whole_request(&fixture, &backend, SHORTER_BODY_BYTES, chunked);
+        while fixture.gateway.metrics()["in_progress"] != 1 {
+            assert!(sent_at.elapsed() < LATEST_ANSWER, "the request has not arrived, chunked: {chunked}");
+        }
+        backend.send_answer.send(()).expect("the backend runs");
+        let answer = client.read_answer().map(|answer| answer.status());
+        let elapsed = sent_at.elapsed();
+        assert_eq!(answer, Some(504), "chunked: {chunked}");
+        assert!(elapsed < LATEST_ANSWER, "{elapsed:?} chunked: {chunked} {}", fixture.gateway.log());
+    }
+}
+
 /// Guards against closing the connection of a request that has arrived whole, as if its client were slow, to make room
 /// for a new connection.
 #[test]
 fn a_request_that_has_arrived_does_not_make_way_though_its_backend_takes_no_more_of_the_body() {
-    let backend = SilentBackend::start("");
+    let backend = SilentBackend::start("", AnswerTime::AtOnce);
     let fixture = backend.fixture();
     let waiting: Vec<Client> = (1..MAX_CLIENTS)
         .map(|customer| {
