Keep no more idle connections to backends than the memory allows

Callers saw: a process with 32 MB and 1,024 descriptors passed its limit, and was killed, some seconds into a crowd of 450 busy clients that come again as soon as they are closed.

Cause: a connection to a backend holds about 21 KB. In use it is covered by its request's reservation; idle, by nothing. The pool was bounded by descriptors alone, and each connection rests for 10 ms before it is used again, so that bursts leave up to 486 of them.

Change: the pool keeps as many idle connections as a sixteenth of the memory holds, and half as many while another process of the gateway runs; the longest idle ones are closed first.

--- a/node/src/backend/pool.rs
+++ b/node/src/backend/pool.rs
@@ -26,8 +26,16 @@
     in_service: bool,
     /// Changes whenever the connections opened before must not be used any more.
     generation: u64,
-    /// Idle connections and when each became idle, the longest idle first.
-    idle: Vec<(Connection, Instant)>,
+    /// Idle connections, the longest idle first.
+    idle: Vec<IdleConnection>,
+}
+
+/// A connection that waits for its next request.
+struct IdleConnection {
+    connection: Connection,
+    /// When it became idle.
+    since: Instant,
+    _counted: Counted,
 }
 
 /// A connection to a backend, counted against the pool's bound until it is dropped.
@@ -37,13 +45,21 @@
     pub(super) address: SocketAddr,
     /// The backend's generation when the connection was opened.
     pub(super) generation: u64,
-    _permit: Permit,
+    _counted: Counted,
 }
 
-/// One unit of the pool's connection bound; holds the count of open connections and decrements it on drop.
-struct Permit(Rc<Cell<usize>>);
+/// One unit of a count of connections. Decrements the count on drop.
+struct Counted(Rc<Cell<usize>>);
+
+impl Counted {
+    /// Increments a count.
+    fn in_count(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Counted(count.clone())
+    }
+}
 
-impl Drop for Permit {
+impl Drop for Counted {
     fn drop(&mut self) {
         self.0.set(self.0.get().saturating_sub(1));
     }
@@ -57,6 +73,11 @@
     /// The number of open connections, idle or in use.
     open: Rc<Cell<usize>>,
     max_connections: Cell<usize>,
+    /// The number of idle connections. Those in use are limited by the memory of their requests.
+    idle: Rc<Cell<usize>>,
+    max_idle: Cell<usize>,
+    /// `max_idle` while no other process shares the memory.
+    solo_max_idle: usize,
     /// The configured idle timeout, the upper limit of `idle_timeout`.
     max_idle_time: Duration,
     /// How long connections are currently kept idle; shortened when an idle connection turns out to be closed.
@@ -85,6 +106,9 @@
             last_generation: Cell::new(0),
             open: Rc::default(),
             max_connections: Cell::new(setup.solo_limits.backends),
+            idle: Rc::default(),
+            max_idle: Cell::new(setup.memory.idle_backend_connections),
+            solo_max_idle: setup.memory.idle_backend_connections,
             max_idle_time: setup.backend_idle_timeout,
             idle_timeout: Cell::new(setup.backend_idle_timeout),
             connect_timeout: Duration::from_micros(setup.decision_config.connect_timeout),
@@ -138,8 +162,8 @@
     /// Closes connections that have been idle for too long or were closed by the peer. To be called once a second.
     pub fn sweep(&self) {
         self.idle_timeout.set(self.idle_timeout.get().mul_f64(IDLE_TIMEOUT_GROWTH).min(self.max_idle_time));
-        let keep = |entry: &(Connection, Instant)| {
-            entry.0.link.usable() && entry.1.elapsed() < self.idle_timeout.get()
+        let keep = |idle: &IdleConnection| {
+            idle.connection.link.usable() && idle.since.elapsed() < self.idle_timeout.get()
         };
         self.backends.borrow_mut().values_mut().for_each(|backend| backend.idle.retain(keep));
     }
@@ -166,8 +190,8 @@
     pub(super) fn take_idle(&self, id: BackendId) -> Option<(Connection, Duration)> {
         let mut backends = self.backends.borrow_mut();
         let idle = &mut backends.get_mut(&id)?.idle;
-        while let Some(index) = idle.iter().rposition(|(_, since)| since.elapsed() >= REUSE_DELAY) {
-            let (connection, since) = idle.remove(index);
+        while let Some(index) = idle.iter().rposition(|idle| idle.since.elapsed() >= REUSE_DELAY) {
+            let IdleConnection { connection, since, .. } = idle.remove(index);
             let idle_time = since.elapsed();
             if connection.link.usable() && idle_time < self.idle_timeout.get() {
                 return Some((connection, idle_time));
@@ -179,7 +203,7 @@
     /// Closes the connection that has been idle for the longest time; returns `None` if no connection is idle.
     fn close_oldest_idle(&self) -> Option<()> {
         let mut backends = self.backends.borrow_mut();
-        let oldest = backends.values_mut().filter(|b| !b.idle.is_empty()).min_by_key(|b| b.idle[0].1)?;
+        let oldest = backends.values_mut().filter(|b| !b.idle.is_empty()).min_by_key(|b| b.idle[0].since)?;
         oldest.idle.remove(0);
         Some(())
     }
@@ -189,9 +213,16 @@
         self.open.get()
     }
 
-    /// Sets whether another process of this gateway shares the memory for responses.
+    /// Sets whether another process of this gateway shares the memory.
     pub fn set_memory_shared(&self, shared: bool) {
         self.body_budget.set_shared(shared);
+        self.max_idle.set(if shared { self.solo_max_idle / 2 } else { self.solo_max_idle });
+        self.close_excess_idle();
+    }
+
+    /// Closes the connections that have been idle for the longest time, down to the bound of idle ones.
+    fn close_excess_idle(&self) {
+        while self.idle.get() > self.max_idle.get() && self.close_oldest_idle().is_some() {}
     }
 
     /// Sets the bound of open connections, closing idle ones to get below it. Connections in use stay open.
@@ -202,12 +233,11 @@
 
     /// Returns a permit for one more connection. At the bound, the longest idle connections are closed to make room;
     /// returns `None` if none is idle.
-    fn acquire_permit(&self) -> Option<Permit> {
+    fn acquire_permit(&self) -> Option<Counted> {
         while self.open.get() >= self.max_connections.get() {
             self.close_oldest_idle()?;
         }
-        self.open.set(self.open.get() + 1);
-        Some(Permit(self.open.clone()))
+        Some(Counted::in_count(&self.open))
     }
 
     /// Opens a connection to a backend, retrying for up to [`MAX_RETRY_TIME`] while this fails because of an error of
@@ -226,7 +256,7 @@
             // the backend ejected.
             let permit = self.acquire_permit().ok_or(Outcome::NotSent)?;
             let local_failure = match timeout(self.connect_timeout, Link::connect(address)).await {
-                Ok(Ok(link)) => return Ok(Connection { link, address, generation, _permit: permit }),
+                Ok(Ok(link)) => return Ok(Connection { link, address, generation, _counted: permit }),
                 Ok(Err(e)) => local_error(&e),
                 Err(_) => None,
             };
@@ -242,9 +272,13 @@
     /// Returns a connection to the pool for the next request, or closes it if it can't be reused.
     pub fn put_back(&self, id: BackendId, connection: Connection) {
         let keep = self.generation(id) == Some(connection.generation) && connection.link.usable();
-        if let Some(backend) = self.backends.borrow_mut().get_mut(&id).filter(|_| keep) {
-            backend.idle.push((connection, Instant::now()));
+        let mut backends = self.backends.borrow_mut();
+        if let Some(backend) = backends.get_mut(&id).filter(|_| keep) {
+            let _counted = Counted::in_count(&self.idle);
+            backend.idle.push(IdleConnection { connection, since: Instant::now(), _counted });
         }
+        drop(backends);
+        self.close_excess_idle();
     }
 }
 
--- a/node/tests/pool.rs
+++ b/node/tests/pool.rs
@@ -24,6 +24,8 @@
 
 /// The id of the pool's only backend.
 const ID: BackendId = BackendId { address: [127, 0, 0, 1], port: 1 };
+/// The memory of the pool's process.
+const MEMORY_BYTES: usize = 8 << 20;
 /// The time limit for operations that must not wait.
 const NO_WAIT_LIMIT: Duration = Duration::from_millis(60);
 
@@ -53,7 +55,7 @@
         inherited_listener_fd: None,
         handover_socket: None,
         max_operator_connections: 1,
-        memory: MemoryLimits::divide(8 << 20),
+        memory: MemoryLimits::divide(MEMORY_BYTES),
         backend_idle_timeout: TEST_TIMEOUT,
     });
     pool.update_backend(ID, backend, true, false);
@@ -180,6 +182,31 @@
     });
 }
 
+/// Guards against connections that nobody uses and that hold more memory than is set aside for them: after a burst, the
+/// pool kept all of them, up to the limit of descriptors.
+#[test]
+fn no_more_connections_stay_idle_than_the_memory_allows() {
+    let max_idle = MemoryLimits::divide(MEMORY_BYTES).idle_backend_connections;
+    run(async {
+        let backend = FakeServer::start(|_| Reaction::Pieces(vec![(100, answer("200 OK", "", "x"))]));
+        let pool = pool(backend.address, 4 * max_idle);
+        let burst = (0..3 * max_idle).map(|_| {
+            let pool = pool.clone();
+            tokio::task::spawn_local(async move {
+                let (_client, message) = client().await;
+                attempt(&pool, &message).await.is_ok_and(|completed| completed.outcome == Outcome::Ok)
+            })
+        });
+        for served in burst.collect::<Vec<_>>() {
+            assert!(served.await.expect("an end"));
+        }
+        assert!(backend.open_connections.1.load(std::sync::atomic::Ordering::SeqCst) > max_idle);
+        assert_eq!(pool.open_connections(), max_idle);
+        pool.set_memory_shared(true);
+        assert_eq!(pool.open_connections(), max_idle / 2);
+    });
+}
+
 /// Guards against losing one unsafe request after another on connections that the backend drops, unnoticed, a tenth of
 /// a second after the last answer. A connection that breaks right after its last use does not shorten the idle timeout.
 #[test]
