Measure the memory that the processes of a gateway hold, and take no more requests beyond it

Operators saw: processes killed for memory. Over an upgrade under 450 clients both processes together took 34 to 51 MB of 32.

Cause: each process kept to estimates of its own. The old one, which may have held all of the memory, gave nothing back when the new one came: stopped uploads made way only where a further request came, and freed memory stayed with the allocator. The estimates also know nothing of memory that the allocator can't reuse.

Change: memory/gauge.rs measures the resident memory, and the processes tell each other theirs.

--- a/node/src/body/budget.rs
+++ b/node/src/body/budget.rs
@@ -1,8 +1,24 @@
-//! The memory budget that all buffered bodies share.
+//! Memory budgets that all uses of one kind share.
 
 use std::cell::Cell;
 use std::rc::Rc;
 
+/// A part of an amount of memory.
+#[derive(Clone, Copy, Debug)]
+pub struct Part {
+    /// The number of equal pieces in the part.
+    pub pieces: usize,
+    /// The number of pieces in the whole.
+    pub whole: usize,
+}
+
+impl Part {
+    /// Returns this part of `bytes`.
+    pub fn of(self, bytes: usize) -> usize {
+        bytes / self.whole * self.pieces
+    }
+}
+
 /// A budget of bytes; clones share it.
 #[derive(Clone)]
 pub struct Budget(Rc<BudgetState>);
@@ -47,10 +63,10 @@
         Some(Reservation { budget: self.clone(), bytes })
     }
 
-    /// Reserves `bytes` for a use less urgent than bodies; returns `None` if less than half of the budget would stay
-    /// available to bodies.
-    pub fn reserve_spare(&self, bytes: usize) -> Option<Reservation> {
-        self.reserve(bytes).filter(|_| self.available() >= self.0.total.get() / 2)
+    /// Reserves `bytes` for a use that must leave room for others: returns `None` if more than `part` of the budget would
+    /// be reserved.
+    pub fn reserve_within(&self, part: Part, bytes: usize) -> Option<Reservation> {
+        self.reserve(bytes).filter(|_| self.0.used.get() <= part.of(self.0.total.get()))
     }
 }
 
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -52,13 +52,16 @@
     memory_mb: Option<usize>,
 }
 
-/// The number of connections that a process has open.
+/// What a process holds of the resources that all processes of its gateway share.
 #[derive(Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
-pub struct OpenConnections {
+pub struct ProcessUsage {
     /// Connections from clients.
     pub clients: usize,
     /// Connections to backends.
     pub backends: usize,
+    /// Resident memory in bytes; 0 if the process's version does not tell it.
+    #[serde(default)]
+    pub resident_bytes: usize,
 }
 
 /// Limits on connections, which together fit the descriptor limit.
@@ -93,7 +96,7 @@
 
     /// Returns the limits that remain for this process beside the open connections of another. At least an eighth
     /// of each is left, since a process without connections makes no progress.
-    pub fn left_by(self, other: OpenConnections) -> Self {
+    pub fn left_by(self, other: ProcessUsage) -> Self {
         let left = |limit: usize, open: usize| limit.saturating_sub(open).max(limit / 8);
         let (clients, backends) = (left(self.clients, other.clients), left(self.backends, other.backends));
         ConnectionLimits { clients, backends, ..self }
@@ -130,6 +133,8 @@
     pub handover_socket: Option<PathBuf>,
     /// The maximum number of concurrent connections of operators.
     pub max_operator_connections: usize,
+    /// The memory that all processes of this gateway may hold together, in bytes.
+    pub memory_bytes: usize,
     /// The memory for each purpose.
     pub memory: MemoryLimits,
     /// How long a connection to a backend may be idle before this side closes it.
@@ -184,7 +189,8 @@
         let idle_close = Duration::from_micros(idle_close.unwrap_or(15_000_000));
         let limits = file.limits.unwrap_or(Limits { sockets: None, memory_mb: None });
         let max_descriptors = limits.sockets.unwrap_or(MAX_DESCRIPTORS).min(process_descriptor_limit());
-        let memory = MemoryLimits::divide(limits.memory_mb.unwrap_or(MIN_MEMORY_MB) << 20);
+        let memory_bytes = limits.memory_mb.unwrap_or(MIN_MEMORY_MB) << 20;
+        let memory = MemoryLimits::divide(memory_bytes);
         decision_config.max_customers = memory.customers;
         let counter = match file.counter {
             Some(text) => Some(text.parse().map_err(|e| format!("counter {text:?}: {e}"))?),
@@ -211,6 +217,7 @@
             seed: u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| seed_from_text(&file.seed)),
             initial_list: file.known,
             decision_config,
+            memory_bytes,
             memory,
             max_descriptors,
             solo_limits: ConnectionLimits::for_processes(max_descriptors, 1, COUNTER_CONNECTIONS)?
--- a/node/src/handover.rs
+++ b/node/src/handover.rs
@@ -3,7 +3,7 @@
 
 mod meeting_point;
 
-use crate::config::OpenConnections;
+use crate::config::ProcessUsage;
 use crate::driver::Driver;
 use crate::endpoints::EndpointList;
 use caperwind::{HandoverState, UnsyncedUnits};
@@ -67,8 +67,8 @@
         /// The hashes.
         requests: Vec<u64>,
     },
-    /// The connections that the sender has open, which count towards the limits of both processes together.
-    Held(OpenConnections),
+    /// What the sender holds, which counts towards the limits of both processes together.
+    Held(ProcessUsage),
     /// The last message of a process that ends: units that it has not added to the counter.
     Spent(Vec<UnsyncedUnits>),
 }
@@ -123,8 +123,8 @@
     path: Option<PathBuf>,
     peers: RefCell<BTreeMap<u64, Peer>>,
     next_peer_id: Cell<u64>,
-    /// The open connections of the other process; `None` while no other process is connected.
-    peer_connections: watch::Sender<Option<OpenConnections>>,
+    /// What the other process holds; `None` while no other process is connected.
+    peer_usage: watch::Sender<Option<ProcessUsage>>,
     /// The id of the peer that serves as this process's successor.
     successor: Cell<Option<u64>>,
     /// Notified when the connection to a peer has ended.
@@ -136,10 +136,9 @@
     /// Without `path`, there is no hand-over.
     pub async fn join(driver: Driver, path: Option<PathBuf>) -> Rc<Self> {
         let (peers, next_peer_id, successor) = (RefCell::default(), Cell::new(0), Cell::new(None));
-        let peer_connections = watch::channel(None).0;
+        let peer_usage = watch::channel(None).0;
         let peer_left = Notify::new();
-        let this =
-            Rc::new(Handover { driver, path, peers, next_peer_id, peer_connections, successor, peer_left });
+        let this = Rc::new(Handover { driver, path, peers, next_peer_id, peer_usage, successor, peer_left });
         let Some(path) = this.path.clone() else { return this };
         let observer = Rc::downgrade(&this);
         this.driver.observe_begun_requests(move |hash| {
@@ -156,9 +155,9 @@
         this
     }
 
-    /// Returns a receiver of the other process's open connections; `None` while no other process is connected.
-    pub fn peer_connections(&self) -> watch::Receiver<Option<OpenConnections>> {
-        self.peer_connections.subscribe()
+    /// Returns a receiver of what the other process holds; `None` while no other process is connected.
+    pub fn peer_usage(&self) -> watch::Receiver<Option<ProcessUsage>> {
+        self.peer_usage.subscribe()
     }
 
     /// Returns whether a successor serves that will go on after this process.
@@ -334,11 +333,10 @@
         log::info!("handover: the other process is gone");
     }
 
-    /// Reports to the driver and to the followers of `peer_connections` whether any peer is connected.
+    /// Reports to the driver and to the followers of `peer_usage` whether any peer is connected.
     fn peers_changed(&self) {
         let has_peers = self.has_peers();
-        self.peer_connections
-            .send_modify(|connections| *connections = has_peers.then(|| connections.unwrap_or_default()));
+        self.peer_usage.send_modify(|usage| *usage = has_peers.then(|| usage.unwrap_or_default()));
         self.driver.set_other_process_serving(has_peers);
     }
 
@@ -367,7 +365,7 @@
             Message::Bar { name, out } => self.driver.set_backend_disabled(&name, out),
             Message::Drain { on } => self.driver.set_draining(on),
             Message::Begun { requests } => self.learn_begun(id, requests),
-            Message::Held(open) => drop(self.peer_connections.send_replace(Some(open))),
+            Message::Held(usage) => drop(self.peer_usage.send_replace(Some(usage))),
             Message::Spent(units) => self.driver.add_unsynced_units(units),
             // A process takes over state only from the first message of its predecessor.
             Message::State(_) => {}
--- a/node/src/memory.rs
+++ b/node/src/memory.rs
@@ -1,6 +1,9 @@
 //! The division of the configured memory among what a process holds for others. What is left over is for the process
 //! itself: its code, the list of backends, and memory that the allocator can't reuse at the moment.
 
+pub mod gauge;
+pub mod resident;
+
 use hyper::http::request::Parts;
 
 /// Bodies of requests may hold the memory divided by this number, and those of responses as much again.
--- a/node/src/meter.rs
+++ b/node/src/meter.rs
@@ -2,7 +2,7 @@
 
 pub mod request_tracker;
 
-use crate::body::budget::{Budget, Reservation};
+use crate::body::budget::{Budget, Part, Reservation};
 use crate::body::scanner::{BodyFraming, BodyScanner};
 use crate::tcp_info::{since_last_data, unacknowledged_bytes, unread_bytes};
 use bytes::{Buf, BufMut, BytesMut};
@@ -34,6 +34,8 @@
 const MAX_READ_BYTES: usize = 8 * 1024 - 1;
 /// The unit in which memory for reading ahead is reserved, in bytes.
 const READ_AHEAD_STEP_BYTES: usize = 16 * 1024;
+/// The part of the memory for bodies that reading ahead and looking ahead may take: bodies themselves go first.
+const SPARE_PART: Part = Part { pieces: 1, whole: 2 };
 /// The number of discarded bytes, several times what the socket buffers hold, after which the client is taken to send
 /// without end and the connection is closed at once.
 const MAX_DISCARDED_BYTES: usize = 16 << 20;
@@ -56,7 +58,7 @@
             if self.bytes.len() >= MAX_READ_AHEAD_BYTES {
                 return Some(0);
             }
-            self.reserved.push(budget.reserve_spare(READ_AHEAD_STEP_BYTES)?);
+            self.reserved.push(budget.reserve_within(SPARE_PART, READ_AHEAD_STEP_BYTES)?);
         }
         let space = self.reserved.len() * READ_AHEAD_STEP_BYTES - self.bytes.len();
         self.bytes.reserve(space);
@@ -193,7 +195,7 @@
             BodyScanner::Length(left) => left <= unread as u64,
             BodyScanner::Chunked(_) if unread == 0 => false,
             BodyScanner::Chunked(_) => {
-                let Some(_reservation) = budget.reserve_spare(unread) else { return false };
+                let Some(_reservation) = budget.reserve_within(SPARE_PART, unread) else { return false };
                 let mut bytes = vec![0; unread];
                 let peeked = self.peek(&mut bytes).unwrap_or_default();
                 body.scan(&bytes[..peeked]);
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -2,9 +2,10 @@
 
 use crate::backend::Pool;
 use crate::body::budget::Budget;
-use crate::config::{ConnectionLimits, OpenConnections, Reload, Setup};
+use crate::config::{ConnectionLimits, ProcessUsage, Reload, Setup};
 use crate::counter::Counter;
 use crate::handover::{Handover, Message};
+use crate::memory::gauge::MemoryGauge;
 use crate::reasons::CloseReason;
 use crate::server::{Budgets, Server};
 use crate::supervisor::Supervisor;
@@ -93,9 +94,11 @@
         async move { timers.run_timers().await }
     });
 
+    let gauge = Rc::new(MemoryGauge::new(setup.memory_bytes));
     let budgets = Budgets {
         bodies: Budget::new(setup.memory.request_bodies),
         requests: Budget::new(setup.memory.requests),
+        gauge: gauge.clone(),
     };
     let server = Server::new(driver.clone(), metrics.clone(), solo_limits.clients, budgets);
     let handover = Handover::join(driver.clone(), setup.handover_socket).await;
@@ -132,13 +135,14 @@
     let (limits_handover, limits_server, limits_counter) =
         (handover.clone(), server.clone(), counter.clone());
     supervisor.run("bounds", move || {
-        share_connection_limits(
+        share_limits(
             solo_limits,
             paired_limits,
             limits_handover.clone(),
             limits_server.clone(),
             pool.clone(),
             limits_counter.clone(),
+            gauge.clone(),
         )
     });
     let (accept_driver, accept_server, accept_handover) = (driver.clone(), server.clone(), handover.clone());
@@ -266,33 +270,41 @@
 }
 
 /// Keeps the connections and the memory of this process within the limits that all processes of this gateway share, and
-/// reports its open connections to the other process.
-async fn share_connection_limits(
+/// reports what it holds to the other process.
+async fn share_limits(
     solo_limits: ConnectionLimits,
     paired_limits: ConnectionLimits,
     handover: Rc<Handover>,
     server: Rc<Server>,
     pool: Rc<Pool>,
     counter: Rc<Counter>,
+    gauge: Rc<MemoryGauge>,
 ) {
-    let (mut peer_connections, mut last_sent) = (handover.peer_connections(), OpenConnections::default());
+    let (mut peer_usage, mut last_sent) = (handover.peer_usage(), ProcessUsage::default());
     loop {
-        let other = *peer_connections.borrow_and_update();
+        let other = *peer_usage.borrow_and_update();
         let limits = other.map_or(solo_limits, |other| paired_limits.left_by(other));
         server.set_max_connections(limits.clients);
         pool.set_max_connections(limits.backends);
         counter.set_max_connections(limits.counter);
-        server.set_memory_shared(other.is_some());
+        server.set_other_process(other);
         pool.set_memory_shared(other.is_some());
-        let own = OpenConnections { clients: server.connection_count(), backends: pool.open_connections() };
-        if other.is_some() && own != last_sent {
-            handover.broadcast(&Message::Held(own));
+        if other.is_some() {
+            server.relieve_memory();
+            let own = ProcessUsage {
+                clients: server.connection_count(),
+                backends: pool.open_connections(),
+                resident_bytes: gauge.held(),
+            };
+            if own != last_sent {
+                handover.broadcast(&Message::Held(own));
+            }
             last_sent = own;
         }
-        // While there is another process, the number of open connections here has to be checked regularly;
-        // otherwise only the appearance of one matters.
+        // While there is another process, what is held here has to be checked regularly; otherwise only the appearance
+        // of one matters.
         let interval = if other.is_some() { SHARING_INTERVAL } else { Duration::MAX };
-        let _ = timeout(interval, peer_connections.changed()).await;
+        let _ = timeout(interval, peer_usage.changed()).await;
     }
 }
 
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -7,10 +7,12 @@
 mod upload_watch;
 
 use crate::body::budget::Budget;
+use crate::config::ProcessUsage;
 use crate::driver::Driver;
 use crate::figures::Metrics;
 use crate::guard::Violation;
 use crate::logging::LimitedLog;
+use crate::memory::gauge::MemoryGauge;
 use crate::meter::{MeteredStream, MAX_HEAD_BYTES};
 use crate::reasons::CloseReason;
 use connection::{AbortReason, ClientConnection, Phase, NEXT_REQUEST_GRACE};
@@ -57,6 +59,8 @@
     pub bodies: Budget,
     /// For requests in progress, apart from their bodies.
     pub requests: Budget,
+    /// Measures what is held in all.
+    pub gauge: Rc<MemoryGauge>,
 }
 
 /// The server for client connections.
@@ -132,10 +136,11 @@
         self.max_connections.set(max_connections);
     }
 
-    /// Sets whether another process of this gateway shares the memory.
-    pub fn set_memory_shared(&self, shared: bool) {
-        self.budgets.bodies.set_shared(shared);
-        self.budgets.requests.set_shared(shared);
+    /// Sets what another process of this gateway holds of the memory that both share; `None` without one.
+    pub fn set_other_process(&self, other: Option<ProcessUsage>) {
+        self.budgets.bodies.set_shared(other.is_some());
+        self.budgets.requests.set_shared(other.is_some());
+        self.budgets.gauge.set_held_by_other(other.map_or(0, |other| other.resident_bytes));
     }
 
     /// Whether an answer is being sent on any connection.
--- a/node/src/server/eviction.rs
+++ b/node/src/server/eviction.rs
@@ -1,9 +1,10 @@
 //! Making room at the limits of connections and of memory: which connection makes way for another, or for a request.
 
 use super::connection::{AbortReason, EvictionRank};
-use super::{Server, ROOM_WAIT};
-use crate::body::budget::Reservation;
+use super::{Budgets, Server, ROOM_WAIT};
+use crate::body::budget::{Part, Reservation};
 use crate::reasons::CloseReason;
+use std::cmp::Reverse;
 use tokio::time::{sleep, timeout, Instant};
 
 /// How often a new connection waits for room, for [`ROOM_WAIT`] each time. In total, this is longer than the time
@@ -11,6 +12,10 @@
 const MAX_ROOM_WAITS: u32 = 40;
 /// How often a request waits for memory, for [`ROOM_WAIT`] each time.
 const MAX_MEMORY_WAITS: u32 = 3;
+/// The part of the memory for requests that is given out however much memory is held, so that the process always serves.
+const ASSURED_PART: Part = Part { pieces: 1, whole: 8 };
+/// How many connections are evicted at a time where the memory for requests is used up.
+const MAX_MEMORY_EVICTIONS: usize = 4;
 
 impl Server {
     /// Waits for room for a new connection and evicts others for it, so that the limit is never exceeded. Returns
@@ -60,26 +65,45 @@
     /// Reserves the memory for a request. If it is used up, requests whose clients have stopped sending their bodies make
     /// way. Returns `None` if there is no room all the same.
     pub(super) async fn reserve_request(&self, bytes: usize) -> Option<Reservation> {
+        let Budgets { requests, gauge, .. } = &self.budgets;
+        if let Some(reservation) = requests.reserve_within(ASSURED_PART, bytes) {
+            return Some(reservation);
+        }
         for _ in 0..MAX_MEMORY_WAITS {
-            if let Some(reservation) = self.budgets.requests.reserve(bytes) {
+            if !gauge.has_room() {
+                self.make_way_in_memory();
+                return None;
+            }
+            if let Some(reservation) = requests.reserve(bytes) {
                 return Some(reservation);
             }
-            self.evict_stopped_upload();
+            self.make_way_in_memory();
             sleep(ROOM_WAIT).await;
         }
-        self.budgets.requests.reserve(bytes)
+        requests.reserve(bytes)
+    }
+
+    /// Frees memory while this process and another one of its gateway hold too much together: what is free here is room
+    /// for the other one only once the kernel has it, and no request that comes here may ask for it any more.
+    pub fn relieve_memory(&self) {
+        if !self.budgets.gauge.has_room() {
+            self.make_way_in_memory();
+        }
     }
 
-    /// Evicts the connection whose client has sent nothing of its request's body for the longest time, if there is one.
-    fn evict_stopped_upload(&self) {
+    /// Evicts the connections whose clients have sent nothing of their request's body for the longest time, if there are
+    /// any, a few at a time.
+    fn make_way_in_memory(&self) {
         if self.last_memory_eviction.get().is_some_and(|at| at.elapsed() < ROOM_WAIT) {
             return;
         }
         self.last_memory_eviction.set(Some(Instant::now()));
         let connections = self.connections.borrow();
-        let stopped = connections.values().filter(|c| !c.evicted.get() && c.upload_stopped());
-        let longest = stopped.max_by_key(|c| c.meter.since_last_data());
-        if let Some(client) = longest.filter(|c| !c.body_arrived(&self.budgets.bodies)) {
+        let mut stopped: Vec<_> =
+            connections.values().filter(|c| !c.evicted.get() && c.upload_stopped()).collect();
+        stopped.sort_by_key(|client| Reverse(client.meter.since_last_data()));
+        let incomplete = stopped.into_iter().filter(|client| !client.body_arrived(&self.budgets.bodies));
+        for client in incomplete.take(MAX_MEMORY_EVICTIONS) {
             client.evicted.set(true);
             client.abort(AbortReason::MadeWay);
         }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -628,9 +628,19 @@
 
     /// Returns the largest resident set size of the process so far, in MB.
     pub fn peak_memory_mb(&self) -> u64 {
-        let text = std::fs::read_to_string(format!("/proc/{}/status", self.pid())).expect("a status");
-        let line = text.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("a figure");
-        line.trim().trim_end_matches("kB").trim().parse::<u64>().expect("a number") / 1024
+        self.memory_kb("VmHWM:").expect("a figure") / 1024
+    }
+
+    /// Returns the resident set size of the process, in KB; 0 once it has ended.
+    pub fn resident_kb(&self) -> u64 {
+        self.memory_kb("VmRSS:").unwrap_or_default()
+    }
+
+    /// Returns a figure of the process's status, in KB; `None` once it has ended.
+    fn memory_kb(&self, name: &str) -> Option<u64> {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.pid())).ok()?;
+        let line = text.lines().find_map(|l| l.strip_prefix(name))?;
+        line.trim().trim_end_matches("kB").trim().parse().ok()
     }
 
     /// Returns the number of descriptors that the process has open now.
--- a/node/tests/memory.rs
+++ b/node/tests/memory.rs
@@ -7,7 +7,7 @@
 use socket2::{Domain, Socket, Type};
 use std::io::{ErrorKind, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 const MEMORY_MB: u32 = 32;
@@ -79,22 +79,36 @@
     stream
 }
 
+/// The limits of the gateway, on a platform that holds its listening socket, or without one.
+fn options(platform: Option<Platform>) -> GatewayOptions {
+    GatewayOptions { memory_mb: MEMORY_MB, sockets: SOCKETS, platform, ..GatewayOptions::default() }
+}
+
 /// Starts a gateway with these entries of discovery's list.
 fn fixture_with(entries: Vec<String>) -> Fixture {
-    let options = GatewayOptions { memory_mb: MEMORY_MB, sockets: SOCKETS, ..GatewayOptions::default() };
-    Fixture::new(&options, entries, fake_counter())
+    Fixture::new(&options(None), entries, fake_counter())
 }
 
-/// Starts a gateway, and a backend that sends a long answer to requests of the class `modificar`.
-fn fixture() -> (Fixture, FakeServer) {
+/// Starts a backend that sends a long answer to requests of the class `modificar`.
+fn backend() -> FakeServer {
     let long_answer = answer("200 OK", "", &"z".repeat(LONG_ANSWER_BYTES));
-    let backend = FakeServer::start(move |request| match request.path().contains("modificar") {
+    FakeServer::start(move |request| match request.path().contains("modificar") {
         true => Reaction::Answer(long_answer.clone()),
         false => ok("x"),
-    });
+    })
+}
+
+/// Starts a gateway, and its backend.
+fn fixture() -> (Fixture, FakeServer) {
+    let backend = backend();
     (fixture_with(serving_entries(&[&backend])), backend)
 }
 
+/// Starts a wave of clients, whose behaviours take turns.
+fn start_mixed_wave(gateway: &Gateway) -> Vec<TcpStream> {
+    (0..CLIENTS).map(|n| start_client(gateway, &BEHAVIOURS[n % BEHAVIOURS.len()].1(n))).collect()
+}
+
 /// Listens on a free port, and leaves the connections that the kernel accepts alone.
 fn hanging_backend() -> TcpListener {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
@@ -132,14 +146,52 @@
     let _exclusive = exclusive_test_lock();
     let (fixture, _backend) = fixture();
     for _ in 0..WAVES {
-        let client = |n: usize| start_client(&fixture.gateway, &BEHAVIOURS[n % BEHAVIOURS.len()].1(n));
-        let _clients: Vec<_> = (0..CLIENTS).map(client).collect();
+        let _clients = start_mixed_wave(&fixture.gateway);
         std::thread::sleep(WAVE_TIME);
         let peak = fixture.gateway.peak_memory_mb();
         assert!(peak < u64::from(MEMORY_MB), "{peak} MB");
     }
 }
 
+/// How long the old process of an upgrade is filled, and how long a wave stays while both processes run.
+const UPGRADE_WAVE_TIME: Duration = Duration::from_millis(800);
+/// The number of waves while both processes run.
+const UPGRADE_WAVES: usize = 4;
+
+/// Guards against an upgrade in which both processes are killed, since each keeps to the limit alone and both together
+/// hold more: the old one does not give back what it held, and the new one takes its share besides.
+#[test]
+fn two_processes_of_an_upgrade_fit_the_least_memory() {
+    let _exclusive = exclusive_test_lock();
+    let (backend, counter) = (backend(), fake_counter());
+    let discovery = FakeDiscovery::start(serving_entries(&[&backend]));
+    let options = options(Some(Platform::new()));
+    let old = Gateway::start(&options, discovery.server.address, counter.address);
+    let first_wave = start_mixed_wave(&old);
+    std::thread::sleep(UPGRADE_WAVE_TIME);
+    let new = Gateway::launch(&options, discovery.server.address, counter.address);
+    let (sampling, peak_kb) = (AtomicBool::new(true), AtomicU64::new(0));
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            while sampling.load(Ordering::Relaxed) {
+                peak_kb.fetch_max(old.resident_kb() + new.resident_kb(), Ordering::Relaxed);
+                std::thread::sleep(Duration::from_millis(5));
+            }
+        });
+        new.wait_until_serving();
+        drop(first_wave);
+        old.terminate();
+        for _ in 0..UPGRADE_WAVES {
+            let _clients = start_mixed_wave(&new);
+            std::thread::sleep(UPGRADE_WAVE_TIME);
+        }
+        sampling.store(false, Ordering::Relaxed);
+    });
+    let peak_mb = peak_kb.load(Ordering::Relaxed) / 1024;
+    println!("{peak_mb} MB");
+    assert!(peak_mb < u64::from(MEMORY_MB), "{peak_mb} MB");
+}
+
 /// The same for large requests whose backends take nothing of them.
 #[test]
 fn large_requests_at_hanging_backends_fit_the_least_memory() {
--- /dev/null
+++ b/node/tests/memory_gauge.rs
@@ -0,0 +1,24 @@
+//! The measurement of the memory that the processes of a gateway hold, tested without a gateway process.
+
+use badgerglade::config::ProcessUsage;
+use badgerglade::memory::gauge::MemoryGauge;
+
+/// Guards against taking requests beyond the memory, measured over this process and the other one of an upgrade.
+#[test]
+fn there_is_no_room_once_both_processes_hold_too_much() {
+    const MEMORY_BYTES: usize = 1 << 40;
+    let gauge = MemoryGauge::new(MEMORY_BYTES);
+    assert!(gauge.held() > 0 && gauge.has_room());
+    gauge.set_held_by_other(MEMORY_BYTES);
+    assert!(!gauge.has_room());
+    gauge.set_held_by_other(0);
+    assert!(gauge.has_room());
+    assert!(!MemoryGauge::new(1 << 20).has_room(), "this process holds more than a megabyte");
+}
+
+/// Guards against an upgrade from a version that does not tell its memory: what it tells has to be understood.
+#[test]
+fn the_usage_of_an_earlier_version_is_understood() {
+    let usage: ProcessUsage = serde_json::from_str(r#"{"clients":3,"backends":2}"#).expect("a usage");
+    assert_eq!((usage.clients, usage.backends, usage.resident_bytes), (3, 2, 0));
+}
--- a/node/tests/pool.rs
+++ b/node/tests/pool.rs
@@ -55,6 +55,7 @@
         inherited_listener_fd: None,
         handover_socket: None,
         max_operator_connections: 1,
+        memory_bytes: MEMORY_BYTES,
         memory: MemoryLimits::divide(MEMORY_BYTES),
         backend_idle_timeout: TEST_TIMEOUT,
     });
