Leave a part of the memory to requests that have arrived whole

Callers saw: while 450 clients wrote slowly or stopped half way, most short requests beside them were refused (503, requests_full), though the process kept its memory limit.

Cause: all requests took their memory from one budget in the order in which they came. One that is still arriving holds its part for seconds, one that has arrived needs it for some tens of milliseconds.

Change: a request of which a part is still to come takes at most three quarters of the memory for requests, and none while the processes hold over nine sixteenths of the limit in all. The socket is asked whether a request has arrived.

--- a/node/src/body/budget.rs
+++ b/node/src/body/budget.rs
@@ -71,11 +71,9 @@
 }
 
 impl Reservation {
-    /// Adds `bytes` to the reservation; returns false if fewer are available.
-    pub fn extend(&mut self, bytes: usize) -> bool {
-        let Some(mut added) = self.budget.reserve(bytes) else { return false };
-        self.bytes += std::mem::take(&mut added.bytes);
-        true
+    /// Adds another reservation from the same budget to this one.
+    pub fn merge(&mut self, mut other: Reservation) {
+        self.bytes += std::mem::take(&mut other.bytes);
     }
 }
 
--- a/node/src/memory/gauge.rs
+++ b/node/src/memory/gauge.rs
@@ -13,15 +13,27 @@
 /// No more requests are taken while more than this part of the memory is held. The rest is for what requests that have
 /// been taken already are still to hold, and for client connections.
 const REQUEST_PART: Part = Part { pieces: 11, whole: 16 };
+/// The same for requests whose bodies are still to come.
+const UPLOAD_PART: Part = Part { pieces: 9, whole: 16 };
 /// How long a measurement is used.
 const MEASUREMENT_LIFE: Duration = Duration::from_millis(5);
 /// How often freed memory is returned to the kernel at most. That takes about a millisecond.
 const RELEASE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// What memory is asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    /// A request that has arrived whole.
+    Request,
+    /// A request of which a part is still to come, however long its client takes. It leaves room for those that have
+    /// arrived.
+    Upload,
+}
+
 /// Measures the memory that is held.
 pub struct MemoryGauge {
-    /// The memory from which on no more requests are taken, in bytes.
-    request_limit: usize,
+    /// The memory that all processes of this gateway may hold together, in bytes.
+    memory: usize,
     /// What the other process of this gateway holds, in bytes; 0 without one.
     held_by_other: Cell<usize>,
     /// What this process held when it was last measured, in bytes, and the time of that.
@@ -34,7 +46,7 @@
     /// Creates a gauge for processes that may hold `bytes` of memory together.
     pub fn new(bytes: usize) -> Self {
         MemoryGauge {
-            request_limit: REQUEST_PART.of(bytes),
+            memory: bytes,
             held_by_other: Cell::new(0),
             measured: Cell::new(None),
             released_at: Cell::new(None),
@@ -58,13 +70,19 @@
         bytes
     }
 
-    /// Returns whether one more request may be taken. Freed memory is returned to the kernel before that is denied.
-    pub fn has_room(&self) -> bool {
-        self.below_limit() || (self.release() && self.below_limit())
+    /// Returns whether memory for one more use may be given out. Freed memory is returned to the kernel before that is
+    /// denied.
+    pub fn has_room(&self, purpose: Purpose) -> bool {
+        let part = match purpose {
+            Purpose::Request => REQUEST_PART,
+            Purpose::Upload => UPLOAD_PART,
+        };
+        let limit = part.of(self.memory);
+        self.holds_less_than(limit) || (self.release() && self.holds_less_than(limit))
     }
 
-    fn below_limit(&self) -> bool {
-        self.held() + self.held_by_other.get() < self.request_limit
+    fn holds_less_than(&self, bytes: usize) -> bool {
+        self.held() + self.held_by_other.get() < bytes
     }
 
     /// Returns freed memory to the kernel, unless that has been done shortly before. Returns whether it has been done.
--- a/node/src/server/eviction.rs
+++ b/node/src/server/eviction.rs
@@ -1,8 +1,10 @@
 //! Making room at the limits of connections and of memory: which connection makes way for another, or for a request.
 
 use super::connection::{AbortReason, EvictionRank};
-use super::{Budgets, Server, ROOM_WAIT};
+use super::{Server, ROOM_WAIT};
 use crate::body::budget::{Part, Reservation};
+use crate::memory::gauge::Purpose;
+use crate::memory::STREAMED_BODY_BYTES;
 use crate::reasons::CloseReason;
 use std::cmp::Reverse;
 use tokio::time::{sleep, timeout, Instant};
@@ -14,6 +16,8 @@
 const MAX_MEMORY_WAITS: u32 = 3;
 /// The part of the memory for requests that is given out however much memory is held, so that the process always serves.
 const ASSURED_PART: Part = Part { pieces: 1, whole: 8 };
+/// The part of the memory for requests that those whose bodies are still to come may take.
+const UPLOAD_PART: Part = Part { pieces: 3, whole: 4 };
 /// How many connections are evicted at a time where the memory for requests is used up.
 const MAX_MEMORY_EVICTIONS: usize = 4;
 
@@ -64,29 +68,42 @@
 
     /// Reserves the memory for a request. If it is used up, requests whose clients have stopped sending their bodies make
     /// way. Returns `None` if there is no room all the same.
-    pub(super) async fn reserve_request(&self, bytes: usize) -> Option<Reservation> {
-        let Budgets { requests, gauge, .. } = &self.budgets;
-        if let Some(reservation) = requests.reserve_within(ASSURED_PART, bytes) {
+    pub(super) async fn reserve_request(&self, purpose: Purpose, bytes: usize) -> Option<Reservation> {
+        if let Some(reservation) = self.budgets.requests.reserve_within(ASSURED_PART, bytes) {
             return Some(reservation);
         }
         for _ in 0..MAX_MEMORY_WAITS {
-            if !gauge.has_room() {
-                self.make_way_in_memory();
-                return None;
-            }
-            if let Some(reservation) = requests.reserve(bytes) {
+            if let Some(reservation) = self.try_reserve(purpose, bytes) {
                 return Some(reservation);
             }
             self.make_way_in_memory();
+            if !self.budgets.gauge.has_room(purpose) {
+                return None;
+            }
             sleep(ROOM_WAIT).await;
         }
-        requests.reserve(bytes)
+        self.try_reserve(purpose, bytes)
+    }
+
+    /// Reserves more memory for a request whose body is to be streamed. Returns whether there was room.
+    pub(super) fn extend_for_upload(&self, reservation: &mut Reservation) -> bool {
+        let added = self.try_reserve(Purpose::Upload, STREAMED_BODY_BYTES);
+        added.map(|added| reservation.merge(added)).is_some()
+    }
+
+    fn try_reserve(&self, purpose: Purpose, bytes: usize) -> Option<Reservation> {
+        let requests = &self.budgets.requests;
+        let reservation = match purpose {
+            Purpose::Request => requests.reserve(bytes),
+            Purpose::Upload => requests.reserve_within(UPLOAD_PART, bytes),
+        };
+        reservation.filter(|_| self.budgets.gauge.has_room(purpose))
     }
 
     /// Frees memory while this process and another one of its gateway hold too much together: what is free here is room
     /// for the other one only once the kernel has it, and no request that comes here may ask for it any more.
     pub fn relieve_memory(&self) {
-        if !self.budgets.gauge.has_room() {
+        if !self.budgets.gauge.has_room(Purpose::Request) {
             self.make_way_in_memory();
         }
     }
--- a/node/src/server/handler.rs
+++ b/node/src/server/handler.rs
@@ -17,7 +17,8 @@
 use crate::body::MAX_BUFFERED_BYTES;
 use crate::driver::{PendingReply, Reply};
 use crate::figures::{RequestInProgress, RequestOutcome};
-use crate::memory::{request_bytes, STREAMED_BODY_BYTES};
+use crate::memory::gauge::Purpose;
+use crate::memory::request_bytes;
 use crate::reasons::RefusalCause;
 use bytes::Bytes;
 use caperwind::Micros;
@@ -115,7 +116,11 @@
         self.request_waiting.notify_one();
         let label = RequestLabel { class: metadata.class, correlation_id: metadata.correlation_id.clone() };
         let mut upload = UploadMonitor::new(client.clone(), self.metrics.clone(), label.clone());
-        let Some(memory) = self.reserve_request(request_bytes(&head)).await else {
+        let purpose = match client.meter.body_arrived(&self.budgets.bodies) {
+            true => Purpose::Request,
+            false => Purpose::Upload,
+        };
+        let Some(memory) = self.reserve_request(purpose, request_bytes(&head)).await else {
             let (status, text) =
                 self.refuse_for_memory(&label, &body, &mut upload, RefusalCause::RequestsFull);
             return closing_answer(status, text);
@@ -205,7 +210,7 @@
                 upload.interrupt(UploadInterruption::AnsweredEarly);
                 Err((StatusCode::BAD_REQUEST, "GET takes no body\n"))
             }
-            (Gathered::Partial(_, rest), _) if !current.memory.extend(STREAMED_BODY_BYTES) => {
+            (Gathered::Partial(_, rest), _) if !self.extend_for_upload(&mut current.memory) => {
                 Err(self.refuse_for_memory(&current.label, &rest, upload, RefusalCause::RequestsFull))
             }
             (Gathered::Partial(first, rest), reservation) => {
--- a/node/tests/memory.rs
+++ b/node/tests/memory.rs
@@ -192,7 +192,37 @@
     assert!(peak_mb < u64::from(MEMORY_MB), "{peak_mb} MB");
 }
 
-/// The same for large requests whose backends take nothing of them.
+/// How many clients send a body slowly: more requests than the memory holds.
+const SLOW_CLIENTS: usize = 300;
+/// The length of the body, and how many bytes of it are sent at a time.
+const SLOW_BODY_BYTES: usize = 10_000;
+const SLOW_PIECE: [u8; 64] = [b'x'; 64];
+/// The pause between two pieces.
+const SLOW_PAUSE: Duration = Duration::from_millis(100);
+/// The number of pieces that slow clients send, with one request asked behind each. They are cut off after 2.4 s.
+const SLOW_PIECES: u64 = 15;
+
+/// Guards against refusing requests that have arrived whole since those whose clients take their time hold all of the
+/// memory for requests.
+#[test]
+fn requests_are_served_beside_slow_uploads() {
+    let _exclusive = exclusive_test_lock();
+    let (fixture, _backend) = fixture();
+    let head = upload_head("orden-nueva", 4_000, Some(SLOW_BODY_BYTES));
+    let mut uploads: Vec<_> =
+        (0..SLOW_CLIENTS).map(|_| start_client(&fixture.gateway, head.as_bytes())).collect();
+    let mut statuses = Vec::new();
+    for customer in 0..SLOW_PIECES {
+        // The gateway closes those that it refuses.
+        uploads.retain_mut(|upload| upload.write(&SLOW_PIECE).is_ok());
+        std::thread::sleep(SLOW_PAUSE);
+        statuses.push(fixture.gateway.client().ask(&request("consulta", customer, 2_000)).status());
+    }
+    println!("{} slow uploads stay", uploads.len());
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+}
+
+/// Guards against the same as the first test where the backends of large requests take nothing of them.
 #[test]
 fn large_requests_at_hanging_backends_fit_the_least_memory() {
     let _exclusive = exclusive_test_lock();
--- a/node/tests/memory_gauge.rs
+++ b/node/tests/memory_gauge.rs
@@ -1,19 +1,22 @@
 //! The measurement of the memory that the processes of a gateway hold, tested without a gateway process.
 
 use badgerglade::config::ProcessUsage;
-use badgerglade::memory::gauge::MemoryGauge;
+use badgerglade::memory::gauge::{MemoryGauge, Purpose};
 
 /// Guards against taking requests beyond the memory, measured over this process and the other one of an upgrade.
 #[test]
 fn there_is_no_room_once_both_processes_hold_too_much() {
     const MEMORY_BYTES: usize = 1 << 40;
     let gauge = MemoryGauge::new(MEMORY_BYTES);
-    assert!(gauge.held() > 0 && gauge.has_room());
+    assert!(gauge.held() > 0 && gauge.has_room(Purpose::Request));
     gauge.set_held_by_other(MEMORY_BYTES);
-    assert!(!gauge.has_room());
+    assert!(!gauge.has_room(Purpose::Request));
+    // A request that has arrived whole goes before one that is still to come.
+    gauge.set_held_by_other(MEMORY_BYTES * 5 / 8);
+    assert!(gauge.has_room(Purpose::Request) && !gauge.has_room(Purpose::Upload));
     gauge.set_held_by_other(0);
-    assert!(gauge.has_room());
-    assert!(!MemoryGauge::new(1 << 20).has_room(), "this process holds more than a megabyte");
+    assert!(gauge.has_room(Purpose::Request) && gauge.has_room(Purpose::Upload));
+    assert!(!MemoryGauge::new(1 << 20).has_room(Purpose::Request), "this process holds more than a megabyte");
 }
 
 /// Guards against an upgrade from a version that does not tell its memory: what it tells has to be understood.
