Take requests to five eighths of the memory, and count an eighth for a process that has not told

Operators would have seen: both processes of an upgrade at the limit once more, under a larger crowd.

The old process stands some MB above the part to which requests are taken (24.5 of 22 MB, by a trial build that logs both), and the new one holds 5 MB before it has told anything.

Change: the parts are five eighths, and half for requests that are still arriving, in place of eleven and nine sixteenths; the other process is taken to hold an eighth at least. The budgets move from body/ to memory/, where the gauge is; nothing else changes in them.

--- a/node/src/backend/attempt.rs
+++ b/node/src/backend/attempt.rs
@@ -4,13 +4,13 @@
 use super::load_report::{parse_billed_units, parse_load_report};
 use super::message::{strip_hop_by_hop, Message, Payload};
 use super::pool::{shortened_idle_timeout, Connection, Pool};
-use crate::body::budget::Reservation;
 use crate::body::download::{AnswerBody, AnswerConnection, Deadline, Download};
 use crate::body::gather::{gather, Gathered};
 use crate::body::upload::UploadSource;
 use crate::body::{MAX_BODY_BYTES, MAX_BUFFERED_BYTES};
 use crate::guard::SendFacts;
 use crate::link::{head_length, SendError};
+use crate::memory::budget::Reservation;
 use bytes::Bytes;
 use caperwind::{BackendId, LoadReport, Outcome};
 use http_body_util::{BodyExt, Either, Full};
--- a/node/src/backend/message.rs
+++ b/node/src/backend/message.rs
@@ -1,7 +1,7 @@
 //! Requests as they are forwarded to backends.
 
-use crate::body::budget::Reservation;
 use crate::body::upload::{RequestBody, Upload, UploadSource};
+use crate::memory::budget::Reservation;
 use crate::meter::Meter;
 use bytes::Bytes;
 use http_body_util::{Either, Full};
--- a/node/src/backend/pool.rs
+++ b/node/src/backend/pool.rs
@@ -1,10 +1,10 @@
 //! The pool of connections to backends: idle ones are kept for reuse, and the total is bounded.
 
 use super::local_failure::{local_error, LocalFailures, FIRST_RETRY_PAUSE, MAX_RETRY_PAUSE, MAX_RETRY_TIME};
-use crate::body::budget::Budget;
 use crate::config::Setup;
 use crate::guard::Guard;
 use crate::link::{Link, REUSE_DELAY};
+use crate::memory::budget::Budget;
 use caperwind::{BackendId, LoadField, Outcome};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
--- a/node/src/body.rs
+++ b/node/src/body.rs
@@ -2,7 +2,6 @@
 //! is streamed frame by frame without being kept: each side is read only as fast as the other side accepts the data.
 
 pub mod answer_limit;
-pub mod budget;
 pub mod download;
 pub mod forwarding;
 pub mod gather;
--- a/node/src/body/download.rs
+++ b/node/src/body/download.rs
@@ -1,10 +1,10 @@
 //! Streaming a backend's response to the client.
 
 use super::answer_limit::{AnswerLimit, LengthClass};
-use super::budget::Reservation;
 use super::forwarding::{Forwarding, ForwardingPolicy};
 use super::gather::Buffer;
 use super::interruption::AnswerInterruption;
+use crate::memory::budget::Reservation;
 use bytes::Bytes;
 use http_body_util::{Either, Full};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
--- a/node/src/body/upload.rs
+++ b/node/src/body/upload.rs
@@ -1,8 +1,8 @@
 //! Streaming a client's request body to a backend.
 
-use super::budget::Reservation;
 use super::interruption::UploadInterruption;
 use super::MAX_BODY_BYTES;
+use crate::memory::budget::Reservation;
 use crate::meter::Meter;
 use bytes::Bytes;
 use http_body_util::{Either, Full};
--- a/node/src/memory.rs
+++ b/node/src/memory.rs
@@ -1,6 +1,7 @@
 //! The division of the configured memory among what a process holds for others. What is left over is for the process
 //! itself: its code, the list of backends, and memory that the allocator can't reuse at the moment.
 
+pub mod budget;
 pub mod gauge;
 pub mod resident;
 
--- a/node/src/memory/gauge.rs
+++ b/node/src/memory/gauge.rs
@@ -5,16 +5,18 @@
 //! process of an upgrade.
 
 use super::resident::{release_free_memory, resident_bytes};
-use crate::body::budget::Part;
+use crate::memory::budget::Part;
 use std::cell::Cell;
 use std::time::Duration;
 use tokio::time::Instant;
 
 /// No more requests are taken while more than this part of the memory is held. The rest is for what requests that have
 /// been taken already are still to hold, and for client connections.
-const REQUEST_PART: Part = Part { pieces: 11, whole: 16 };
+const REQUEST_PART: Part = Part { pieces: 5, whole: 8 };
 /// The same for requests whose bodies are still to come.
-const UPLOAD_PART: Part = Part { pieces: 9, whole: 16 };
+const UPLOAD_PART: Part = Part { pieces: 1, whole: 2 };
+/// The part that another process is taken to hold at least: it may not have told yet, or not be able to tell.
+const OTHER_PROCESS_PART: Part = Part { pieces: 1, whole: 8 };
 /// How long a measurement is used.
 const MEASUREMENT_LIFE: Duration = Duration::from_millis(5);
 /// How often freed memory is returned to the kernel at most. That takes about a millisecond.
@@ -53,9 +55,10 @@
         }
     }
 
-    /// Records what the other process of this gateway holds, in bytes; 0 without one.
-    pub fn set_held_by_other(&self, bytes: usize) {
-        self.held_by_other.set(bytes);
+    /// Records what the other process of this gateway says that it holds, in bytes; `None` without one.
+    pub fn set_held_by_other(&self, bytes: Option<usize>) {
+        let least = OTHER_PROCESS_PART.of(self.memory);
+        self.held_by_other.set(bytes.map_or(0, |bytes| bytes.max(least)));
     }
 
     /// Returns the memory that this process holds, in bytes; 0 if it can't be measured.
--- a/node/src/meter.rs
+++ b/node/src/meter.rs
@@ -2,8 +2,8 @@
 
 pub mod request_tracker;
 
-use crate::body::budget::{Budget, Part, Reservation};
 use crate::body::scanner::{BodyFraming, BodyScanner};
+use crate::memory::budget::{Budget, Part, Reservation};
 use crate::tcp_info::{since_last_data, unacknowledged_bytes, unread_bytes};
 use bytes::{Buf, BufMut, BytesMut};
 use nix::errno::Errno;
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -1,10 +1,10 @@
 //! The life of one gateway process: start, reload, shutdown.
 
 use crate::backend::Pool;
-use crate::body::budget::Budget;
 use crate::config::{ConnectionLimits, ProcessUsage, Reload, Setup};
 use crate::counter::Counter;
 use crate::handover::{Handover, Message};
+use crate::memory::budget::Budget;
 use crate::memory::gauge::MemoryGauge;
 use crate::reasons::CloseReason;
 use crate::server::{Budgets, Server};
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -6,12 +6,12 @@
 mod transfer;
 mod upload_watch;
 
-use crate::body::budget::Budget;
 use crate::config::ProcessUsage;
 use crate::driver::Driver;
 use crate::figures::Metrics;
 use crate::guard::Violation;
 use crate::logging::LimitedLog;
+use crate::memory::budget::Budget;
 use crate::memory::gauge::MemoryGauge;
 use crate::meter::{MeteredStream, MAX_HEAD_BYTES};
 use crate::reasons::CloseReason;
@@ -140,7 +140,7 @@
     pub fn set_other_process(&self, other: Option<ProcessUsage>) {
         self.budgets.bodies.set_shared(other.is_some());
         self.budgets.requests.set_shared(other.is_some());
-        self.budgets.gauge.set_held_by_other(other.map_or(0, |other| other.resident_bytes));
+        self.budgets.gauge.set_held_by_other(other.map(|other| other.resident_bytes));
     }
 
     /// Whether an answer is being sent on any connection.
--- a/node/src/server/connection.rs
+++ b/node/src/server/connection.rs
@@ -1,11 +1,11 @@
 //! A client connection: its phase, its timeouts and its eviction rank.
 
 use crate::body::answer_limit::{LengthClass, STALL_TIMEOUT};
-use crate::body::budget::Budget;
 use crate::body::download::Progress;
 use crate::body::interruption::{AnswerInterruption, UploadInterruption};
 use crate::body::upload::Backpressure;
 use crate::guard::{Guard, Violation};
+use crate::memory::budget::Budget;
 use crate::meter::Meter;
 use crate::reasons::CloseReason;
 use std::cell::{Cell, OnceCell, RefCell};
--- a/node/src/server/eviction.rs
+++ b/node/src/server/eviction.rs
@@ -2,7 +2,7 @@
 
 use super::connection::{AbortReason, EvictionRank};
 use super::{Server, ROOM_WAIT};
-use crate::body::budget::{Part, Reservation};
+use crate::memory::budget::{Part, Reservation};
 use crate::memory::gauge::Purpose;
 use crate::memory::STREAMED_BODY_BYTES;
 use crate::reasons::CloseReason;
--- a/node/src/server/transfer.rs
+++ b/node/src/server/transfer.rs
@@ -1,10 +1,10 @@
 //! Bodies in transfer: counts how each one ends, and logs those that are interrupted.
 
 use super::connection::{ClientConnection, Phase};
-use crate::body::budget::Reservation;
 use crate::body::download::{Download, Progress};
 use crate::body::interruption::{AnswerInterruption, UploadInterruption};
 use crate::figures::{Metrics, RequestInProgress, RequestOutcome};
+use crate::memory::budget::Reservation;
 use bytes::Bytes;
 use caperwind::ClassIndex;
 use hyper::body::{Body, Frame, SizeHint};
--- a/node/src/server/upload_watch.rs
+++ b/node/src/server/upload_watch.rs
@@ -2,8 +2,8 @@
 
 use super::connection::ClientConnection;
 use crate::body::answer_limit::STALL_TIMEOUT;
-use crate::body::budget::Budget;
 use crate::body::upload::UploadSource;
+use crate::memory::budget::Budget;
 use caperwind::Micros;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
