End the sampling of the upgrade's memory test with its waves, also where these panic

The sampling thread ran until it was told to stop; a panic before that left the test hanging in place of failing. The waves run in the thread now, and the test samples until it has finished, however that ends. What is checked is the same; it passes.

--- a/node/tests/memory.rs
+++ b/node/tests/memory.rs
@@ -7,7 +7,7 @@
 use socket2::{Domain, Socket, Type};
 use std::io::{ErrorKind, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 const MEMORY_MB: u32 = 32;
@@ -170,24 +170,23 @@
     let first_wave = start_mixed_wave(&old);
     std::thread::sleep(UPGRADE_WAVE_TIME);
     let new = Gateway::launch(&options, discovery.server.address, counter.address);
-    let (sampling, peak_kb) = (AtomicBool::new(true), AtomicU64::new(0));
+    let mut peak_kb = 0;
     std::thread::scope(|scope| {
-        scope.spawn(|| {
-            while sampling.load(Ordering::Relaxed) {
-                peak_kb.fetch_max(old.resident_kb() + new.resident_kb(), Ordering::Relaxed);
-                std::thread::sleep(Duration::from_millis(5));
+        let waves = scope.spawn(|| {
+            new.wait_until_serving();
+            drop(first_wave);
+            old.terminate();
+            for _ in 0..UPGRADE_WAVES {
+                let _clients = start_mixed_wave(&new);
+                std::thread::sleep(UPGRADE_WAVE_TIME);
             }
         });
-        new.wait_until_serving();
-        drop(first_wave);
-        old.terminate();
-        for _ in 0..UPGRADE_WAVES {
-            let _clients = start_mixed_wave(&new);
-            std::thread::sleep(UPGRADE_WAVE_TIME);
+        while !waves.is_finished() {
+            peak_kb = peak_kb.max(old.resident_kb() + new.resident_kb());
+            std::thread::sleep(Duration::from_millis(5));
         }
-        sampling.store(false, Ordering::Relaxed);
     });
-    let peak_mb = peak_kb.load(Ordering::Relaxed) / 1024;
+    let peak_mb = peak_kb / 1024;
     println!("{peak_mb} MB");
     assert!(peak_mb < u64::from(MEMORY_MB), "{peak_mb} MB");
 }
