Take the memory of idle connections to backends from a budget, as all else does

The pool counted idle connections by hand beside its count of open ones, with a bound of its own that was halved while another process runs. Budget does all of that already: an idle connection holds a reservation now, the longest idle ones make way for it, and what is over after the budget was halved is closed. The bound is the same, 97 connections with 32 MB and half of that for two processes; the test's expectations are as they were.

Measured: pool, metered, connections, descriptors, both descriptor_peak tests, handover and memory_gauge pass.

--- a/node/src/backend/pool.rs
+++ b/node/src/backend/pool.rs
@@ -4,7 +4,8 @@
 use crate::config::Setup;
 use crate::guard::Guard;
 use crate::link::{Link, REUSE_DELAY};
-use crate::memory::budget::Budget;
+use crate::memory::budget::{Budget, Reservation};
+use crate::memory::IDLE_BACKEND_CONNECTION_BYTES;
 use caperwind::{BackendId, LoadField, Outcome};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -35,7 +36,7 @@
     connection: Connection,
     /// When it became idle.
     since: Instant,
-    _counted: Counted,
+    _memory: Reservation,
 }
 
 /// A connection to a backend, counted against the pool's bound until it is dropped.
@@ -45,21 +46,13 @@
     pub(super) address: SocketAddr,
     /// The backend's generation when the connection was opened.
     pub(super) generation: u64,
-    _counted: Counted,
+    _permit: Permit,
 }
 
-/// One unit of a count of connections. Decrements the count on drop.
-struct Counted(Rc<Cell<usize>>);
+/// One unit of the pool's connection bound; holds the count of open connections and decrements it on drop.
+struct Permit(Rc<Cell<usize>>);
 
-impl Counted {
-    /// Increments a count.
-    fn in_count(count: &Rc<Cell<usize>>) -> Self {
-        count.set(count.get() + 1);
-        Counted(count.clone())
-    }
-}
-
-impl Drop for Counted {
+impl Drop for Permit {
     fn drop(&mut self) {
         self.0.set(self.0.get().saturating_sub(1));
     }
@@ -73,11 +66,8 @@
     /// The number of open connections, idle or in use.
     open: Rc<Cell<usize>>,
     max_connections: Cell<usize>,
-    /// The number of idle connections. Those in use are limited by the memory of their requests.
-    idle: Rc<Cell<usize>>,
-    max_idle: Cell<usize>,
-    /// `max_idle` while no other process shares the memory.
-    solo_max_idle: usize,
+    /// The memory for idle connections. Those in use are limited by the memory of their requests.
+    idle_budget: Budget,
     /// The configured idle timeout, the upper limit of `idle_timeout`.
     max_idle_time: Duration,
     /// How long connections are currently kept idle; shortened when an idle connection turns out to be closed.
@@ -106,9 +96,7 @@
             last_generation: Cell::new(0),
             open: Rc::default(),
             max_connections: Cell::new(setup.solo_limits.backends),
-            idle: Rc::default(),
-            max_idle: Cell::new(setup.memory.idle_backend_connections),
-            solo_max_idle: setup.memory.idle_backend_connections,
+            idle_budget: Budget::new(setup.memory.idle_backend_connections),
             max_idle_time: setup.backend_idle_timeout,
             idle_timeout: Cell::new(setup.backend_idle_timeout),
             connect_timeout: Duration::from_micros(setup.decision_config.connect_timeout),
@@ -216,13 +204,20 @@
     /// Sets whether another process of this gateway shares the memory.
     pub fn set_memory_shared(&self, shared: bool) {
         self.body_budget.set_shared(shared);
-        self.max_idle.set(if shared { self.solo_max_idle / 2 } else { self.solo_max_idle });
-        self.close_excess_idle();
+        self.idle_budget.set_shared(shared);
+        while self.idle_budget.is_exceeded() && self.close_oldest_idle().is_some() {}
     }
 
-    /// Closes the connections that have been idle for the longest time, down to the bound of idle ones.
-    fn close_excess_idle(&self) {
-        while self.idle.get() > self.max_idle.get() && self.close_oldest_idle().is_some() {}
+    /// Reserves the memory for one more idle connection, closing those that have been idle for the longest time to make
+    /// room; returns `None` if there is no room all the same.
+    fn reserve_idle(&self) -> Option<Reservation> {
+        loop {
+            let reservation = self.idle_budget.reserve(IDLE_BACKEND_CONNECTION_BYTES);
+            if reservation.is_some() {
+                return reservation;
+            }
+            self.close_oldest_idle()?;
+        }
     }
 
     /// Sets the bound of open connections, closing idle ones to get below it. Connections in use stay open.
@@ -233,11 +228,12 @@
 
     /// Returns a permit for one more connection. At the bound, the longest idle connections are closed to make room;
     /// returns `None` if none is idle.
-    fn acquire_permit(&self) -> Option<Counted> {
+    fn acquire_permit(&self) -> Option<Permit> {
         while self.open.get() >= self.max_connections.get() {
             self.close_oldest_idle()?;
         }
-        Some(Counted::in_count(&self.open))
+        self.open.set(self.open.get() + 1);
+        Some(Permit(self.open.clone()))
     }
 
     /// Opens a connection to a backend, retrying for up to [`MAX_RETRY_TIME`] while this fails because of an error of
@@ -256,7 +252,7 @@
             // the backend ejected.
             let permit = self.acquire_permit().ok_or(Outcome::NotSent)?;
             let local_failure = match timeout(self.connect_timeout, Link::connect(address)).await {
-                Ok(Ok(link)) => return Ok(Connection { link, address, generation, _counted: permit }),
+                Ok(Ok(link)) => return Ok(Connection { link, address, generation, _permit: permit }),
                 Ok(Err(e)) => local_error(&e),
                 Err(_) => None,
             };
@@ -272,13 +268,10 @@
     /// Returns a connection to the pool for the next request, or closes it if it can't be reused.
     pub fn put_back(&self, id: BackendId, connection: Connection) {
         let keep = self.generation(id) == Some(connection.generation) && connection.link.usable();
-        let mut backends = self.backends.borrow_mut();
-        if let Some(backend) = backends.get_mut(&id).filter(|_| keep) {
-            let _counted = Counted::in_count(&self.idle);
-            backend.idle.push(IdleConnection { connection, since: Instant::now(), _counted });
+        let Some(_memory) = keep.then(|| self.reserve_idle()).flatten() else { return };
+        if let Some(backend) = self.backends.borrow_mut().get_mut(&id) {
+            backend.idle.push(IdleConnection { connection, since: Instant::now(), _memory });
         }
-        drop(backends);
-        self.close_excess_idle();
     }
 }
 
--- a/node/src/memory.rs
+++ b/node/src/memory.rs
@@ -18,7 +18,7 @@
 /// Idle connections to backends may hold the memory divided by this number.
 const IDLE_BACKEND_CONNECTION_DIVISOR: usize = 16;
 /// What an idle connection to a backend holds: its buffers and its task.
-const IDLE_BACKEND_CONNECTION_BYTES: usize = 21 * 1024;
+pub const IDLE_BACKEND_CONNECTION_BYTES: usize = 21 * 1024;
 /// What a client's connection holds at most before a request is taken from it: buffers for a whole head and for writing.
 const CONNECTION_BYTES: usize = 23 * 1024;
 /// What a customer takes with its entries in all tables.
@@ -44,7 +44,7 @@
     pub requests: usize,
     /// The maximum number of client connections.
     pub client_connections: usize,
-    /// The maximum number of idle connections to backends. Those in use belong to requests in progress.
+    /// The bytes that all idle connections to backends may hold. Those in use belong to requests in progress.
     pub idle_backend_connections: usize,
     /// The maximum number of known customers.
     pub customers: usize,
@@ -58,7 +58,7 @@
             response_bodies: bytes / BODY_DIVISOR,
             requests: bytes / REQUEST_DIVISOR,
             client_connections: bytes / CONNECTION_DIVISOR / CONNECTION_BYTES,
-            idle_backend_connections: bytes / IDLE_BACKEND_CONNECTION_DIVISOR / IDLE_BACKEND_CONNECTION_BYTES,
+            idle_backend_connections: bytes / IDLE_BACKEND_CONNECTION_DIVISOR,
             customers: bytes / CUSTOMER_DIVISOR / CUSTOMER_BYTES,
         }
     }
--- a/node/src/memory/budget.rs
+++ b/node/src/memory/budget.rs
@@ -54,6 +54,11 @@
         self.0.total.get().saturating_sub(self.0.used.get())
     }
 
+    /// Returns whether more is reserved than may be used now, since another process has come to share the budget.
+    pub fn is_exceeded(&self) -> bool {
+        self.0.used.get() > self.0.total.get()
+    }
+
     /// Reserves `bytes`; returns `None` if fewer are available.
     pub fn reserve(&self, bytes: usize) -> Option<Reservation> {
         if bytes > self.available() {
--- a/node/src/memory/gauge.rs
+++ b/node/src/memory/gauge.rs
@@ -19,7 +19,7 @@
 const OTHER_PROCESS_PART: Part = Part { pieces: 1, whole: 8 };
 /// How long a measurement is used.
 const MEASUREMENT_LIFE: Duration = Duration::from_millis(5);
-/// How often freed memory is returned to the kernel at most. That takes about a millisecond.
+/// How often freed memory is returned to the kernel at most. That walks through the whole heap.
 const RELEASE_INTERVAL: Duration = Duration::from_millis(100);
 
 /// What memory is asked for.
--- a/node/tests/pool.rs
+++ b/node/tests/pool.rs
@@ -8,7 +8,7 @@
 use badgerglade::body::download::Deadline;
 use badgerglade::config::{ConnectionLimits, Setup};
 use badgerglade::memory::budget::Budget;
-use badgerglade::memory::MemoryLimits;
+use badgerglade::memory::{MemoryLimits, IDLE_BACKEND_CONNECTION_BYTES};
 use badgerglade::meter::Meter;
 use caperwind::{BackendId, LoadField, Outcome};
 use common::*;
@@ -187,7 +187,8 @@
 /// pool kept all of them, up to the limit of descriptors.
 #[test]
 fn no_more_connections_stay_idle_than_the_memory_allows() {
-    let max_idle = MemoryLimits::divide(MEMORY_BYTES).idle_backend_connections;
+    let max_idle =
+        MemoryLimits::divide(MEMORY_BYTES).idle_backend_connections / IDLE_BACKEND_CONNECTION_BYTES;
     run(async {
         let backend = FakeServer::start(|_| Reaction::Pieces(vec![(100, answer("200 OK", "", "x"))]));
         let pool = pool(backend.address, 4 * max_idle);
